Lay out the workspace and the thin path from caller to engine

Cause: nothing existed. Change: a Maven reactor with model, decision, platform, stand-ins, router, operator and experiments; the filter chain from bearer token to engine, the configuration watch, note publishing, stand-ins.

--- /dev/null
+++ b/model/src/main/kotlin/dev/almondhaven/catalogue/ModelVersion.kt
@@ -0,0 +1,119 @@
+package dev.almondhaven.catalogue
+
+import dev.almondhaven.model.AdapterId
+import dev.almondhaven.model.ModelId
+import dev.almondhaven.model.ModelVersionId
+import dev.almondhaven.model.TaskClass
+import dev.almondhaven.model.VersionId
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** Where a model version stands in its life. */
+@Serializable
+public enum class VersionState {
+    /** Takes sessions and requests. */
+    @SerialName("active")
+    ACTIVE,
+
+    /** Gets no new work; sessions move to the successor. */
+    @SerialName("withdrawn")
+    WITHDRAWN,
+}
+
+/**
+ * Price in micro-units of the users' currency per token.
+ *
+ * @property input micro-units per prompt token.
+ * @property output micro-units per generated token.
+ */
+@Serializable
+public data class Price(
+    public val input: Double,
+    public val output: Double,
+)
+
+/**
+ * Expected quality before any rating has come in, from 0 to 1.
+ *
+ * @property default quality for a task class that [classes] doesn't name.
+ * @property classes quality by task class.
+ * @property weight how many ratings this expectation counts for.
+ */
+@Serializable
+public data class QualityPrior(
+    public val default: Double,
+    public val classes: Map<TaskClass, Double> = emptyMap(),
+    public val weight: Double = DEFAULT_WEIGHT,
+) {
+    /** The expectation for [taskClass]. */
+    public fun of(taskClass: TaskClass): Double = classes[taskClass] ?: default
+
+    public companion object {
+        /** Ratings that a prior counts for unless the note says otherwise. */
+        public const val DEFAULT_WEIGHT: Double = 20.0
+    }
+}
+
+/**
+ * One stage of a roll-out.
+ *
+ * @property share part of new sessions that start on the version, from 0 to 1.
+ * @property minutes how long the stage lasts before the next one starts.
+ */
+@Serializable
+public data class RollOutStep(
+    public val share: Double,
+    public val minutes: Long,
+)
+
+/**
+ * A staged roll-out of a version against its predecessor.
+ *
+ * @property predecessor the version that new sessions otherwise start on, and that the test compares with.
+ * @property startedAt epoch milliseconds at which the first step begins; the publishing command fills it in.
+ * @property steps the stages in order; after the last one the version takes all new sessions.
+ * @property maximumErrorIncrease error-rate difference to the predecessor that halts the roll-out.
+ * @property maximumQualityLoss quality difference to the predecessor that halts the roll-out.
+ * @property maximumLatencyRatio latency ratio to the predecessor that halts the roll-out.
+ */
+@Serializable
+public data class RollOut(
+    public val predecessor: VersionId,
+    public val startedAt: Long = 0,
+    public val steps: List<RollOutStep>,
+    public val maximumErrorIncrease: Double = DEFAULT_ERROR_INCREASE,
+    public val maximumQualityLoss: Double = DEFAULT_QUALITY_LOSS,
+    public val maximumLatencyRatio: Double = DEFAULT_LATENCY_RATIO,
+) {
+    public companion object {
+        public const val DEFAULT_ERROR_INCREASE: Double = 0.02
+        public const val DEFAULT_QUALITY_LOSS: Double = 0.05
+        public const val DEFAULT_LATENCY_RATIO: Double = 2.0
+    }
+}
+
+/**
+ * A version of a model as the release notes describe it.
+ *
+ * @property successor version that sessions move to once this one is withdrawn.
+ * @property promptTokensLimit longest prompt the version accepts, in tokens.
+ */
+@Serializable
+public data class ModelVersion(
+    public val model: ModelId,
+    public val version: VersionId,
+    public val state: VersionState = VersionState.ACTIVE,
+    public val price: Price,
+    public val quality: QualityPrior,
+    public val successor: VersionId? = null,
+    public val rollOut: RollOut? = null,
+    public val adapters: List<AdapterId> = emptyList(),
+    public val promptTokensLimit: Int = DEFAULT_PROMPT_TOKENS_LIMIT,
+) {
+    /** Model and version together. */
+    public val id: ModelVersionId get() = ModelVersionId(model, version)
+
+    public companion object {
+        public const val DEFAULT_PROMPT_TOKENS_LIMIT: Int = 128_000
+    }
+}
--- /dev/null
+++ b/model/src/main/kotlin/dev/almondhaven/model/LogEvent.kt
@@ -0,0 +1,45 @@
+package dev.almondhaven.model
+
+import io.github.oshai.kotlinlogging.KLogger
+import io.github.oshai.kotlinlogging.Level
+
+/**
+ * Numbered log events. `docs/EVENTS.md` holds the same catalogue; a test compares them.
+ *
+ * Blocks of numbers: 1xxx process, 2xxx configuration and membership, 3xxx model choice and roll-outs, 4xxx endpoints
+ * and answers, 5xxx claims, billing, platform and engine orders.
+ *
+ * @property number stable number of the event.
+ * @property level severity it is logged with.
+ * @property meaning one sentence for the catalogue.
+ */
+public enum class LogEvent(
+    public val number: Int,
+    public val level: Level,
+    public val meaning: String,
+) {
+    ROUTER_STARTED(1001, Level.INFO, "The router listens."),
+    ROUTER_STOPPING(1002, Level.INFO, "The router drains and stops."),
+    ROUTER_STOPPED(1003, Level.INFO, "The router has stopped."),
+    DUTY_FAILED(1004, Level.ERROR, "A duty thread met an unexpected error and goes on."),
+    REQUEST_FAILED_UNEXPECTEDLY(1005, Level.ERROR, "A filter threw; the caller got an error."),
+
+    CONFIGURATION_IN_FORCE(2001, Level.INFO, "A newer configuration came in force on this router."),
+    CONFIGURATION_STALE_READ(2002, Level.WARN, "A read returned an older generation than held; it was ignored."),
+    PLATFORM_READ_FAILED(2003, Level.WARN, "The platform's object API did not answer a read."),
+
+    ENDPOINT_ANSWER_BAD(4001, Level.WARN, "An endpoint's answer failed or could not be read."),
+    ;
+
+    /** Logs this event to [logger] with [detail], which ought to be `name=value` pairs. */
+    public fun log(
+        logger: KLogger,
+        cause: Throwable? = null,
+        detail: () -> String = { "" },
+    ): Unit =
+        logger.at(level) {
+            message = "$name ${detail()}".trim()
+            this.cause = cause
+            payload = mapOf("event" to number)
+        }
+}
--- /dev/null
+++ b/model/src/main/kotlin/dev/almondhaven/model/ResultCode.kt
@@ -0,0 +1,49 @@
+package dev.almondhaven.model
+
+/**
+ * Numbered results that callers and operators see. `docs/RESULT-CODES.md` holds the same table; a test compares them.
+ *
+ * Blocks of numbers: 1xxx the request itself, 2xxx configuration, 3xxx model choice and sessions, 4xxx admission,
+ * endpoints and answers, 5xxx claims and billing, 6xxx operators' commands and settings.
+ *
+ * @property number stable number of the code.
+ * @property status HTTP status of a refusal with this code; 0 where the code never reaches an HTTP caller.
+ * @property meaning one sentence for the table.
+ */
+public enum class ResultCode(
+    public val number: Int,
+    public val status: Int,
+    public val meaning: String,
+) {
+    MALFORMED_REQUEST(1001, 400, "The body is not the JSON object that the path expects."),
+    UNKNOWN_TOKEN(1002, 401, "The bearer token is missing or belongs to no organisation."),
+    BODY_TOO_LARGE(1003, 413, "The body is larger than the limit in the settings."),
+    UNKNOWN_PATH(1004, 404, "No such path."),
+    UNKNOWN_MODEL(1005, 404, "The model or version does not exist or the organisation may not use it."),
+    UNKNOWN_SERVICE(1006, 404, "The service or call does not exist or the organisation may not use it."),
+
+    NOT_CONFIGURED(2001, 503, "This router holds no configuration yet."),
+
+    NO_MODEL_ALLOWED(3001, 403, "No model is in service that the organisation may use."),
+
+    NO_ENDPOINT(4001, 503, "No endpoint in service can take the request."),
+    ENDPOINT_UNREACHABLE(4002, 502, "No connection to the endpoint could be opened."),
+    ENDPOINT_FAILED(4003, 502, "The endpoint answered with an error or closed the connection."),
+    ANSWER_MALFORMED(4004, 502, "The endpoint's answer could not be read."),
+    ANSWER_CUT(4005, 502, "The endpoint's answer ended before it was complete."),
+    DEADLINE_EXCEEDED(4006, 504, "The request's deadline passed."),
+    OVERLOADED(4007, 429, "More requests wait or run than the limits allow."),
+
+    INTERNAL_ERROR(5001, 500, "The router met an unexpected error."),
+
+    INVALID_SETTINGS(6001, 0, "The settings file is wrong; every problem is listed."),
+    INVALID_NOTE(6002, 0, "The release note is wrong; every problem is listed."),
+    PUBLISH_CONFLICT(6003, 0, "Another configuration was accepted first; the differences are listed."),
+    PLATFORM_UNAVAILABLE(6004, 0, "The platform's object API does not answer."),
+    ;
+
+    public companion object {
+        /** The code with [number], or null. */
+        public fun ofNumber(number: Int): ResultCode? = entries.firstOrNull { it.number == number }
+    }
+}
--- /dev/null
+++ b/router/src/main/kotlin/dev/almondhaven/router/CallerService.kt
@@ -0,0 +1,130 @@
+package dev.almondhaven.router
+
+import com.linecorp.armeria.common.AggregatedHttpRequest
+import com.linecorp.armeria.common.ContentTooLargeException
+import com.linecorp.armeria.common.HttpData
+import com.linecorp.armeria.common.HttpRequest
+import com.linecorp.armeria.common.HttpResponse
+import com.linecorp.armeria.common.RequestHeaders
+import com.linecorp.armeria.server.HttpService
+import com.linecorp.armeria.server.ServiceRequestContext
+import dev.almondhaven.model.LogEvent
+import dev.almondhaven.model.NanoClock
+import dev.almondhaven.model.Refusal
+import dev.almondhaven.model.RequestId
+import dev.almondhaven.model.ResultCode
+import dev.almondhaven.router.filter.Answer
+import dev.almondhaven.router.filter.Exchange
+import dev.almondhaven.router.filter.RequestHandler
+import io.github.oshai.kotlinlogging.KotlinLogging
+import java.util.concurrent.CompletionException
+import java.util.concurrent.ThreadLocalRandom
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.DurationUnit
+
+private val logger = KotlinLogging.logger {}
+
+/** Takes callers' requests, runs them through the filter chain and writes the answers. */
+internal class CallerService(
+    private val handler: RequestHandler,
+    private val metrics: RouterMetrics,
+    private val requestTimeout: Duration,
+    private val clock: NanoClock,
+) : HttpService {
+    override fun serve(
+        context: ServiceRequestContext,
+        request: HttpRequest,
+    ): HttpResponse =
+        HttpResponse.of(
+            request.aggregate().handle { aggregated, cause ->
+                if (cause != null) unreadable(context, request.headers(), cause) else answer(context, aggregated)
+            },
+        )
+
+    private fun answer(
+        context: ServiceRequestContext,
+        request: AggregatedHttpRequest,
+    ): HttpResponse {
+        val exchange = exchangeOf(context, request.headers(), request.content())
+        val response =
+            handler
+                .handle(exchange)
+                .exceptionally { unexpected(exchange, it) }
+                .thenApply { respond(context, exchange, it) }
+        return HttpResponse.of(response)
+    }
+
+    private fun respond(
+        context: ServiceRequestContext,
+        exchange: Exchange,
+        answer: Answer,
+    ): HttpResponse {
+        (answer as? Answer.Refused)?.let { exchange.journal.recordRefusal(it.refusal) }
+        val response = AnswerWriter.write(exchange, answer) { exchange.journal.recordRefusal(it) }
+        context.log().whenComplete().thenRun { ended(exchange) }
+        return response
+    }
+
+    private fun ended(exchange: Exchange) {
+        exchange.journal.recordEnd()
+        val organisation = exchange.journal.organisation?.value ?: NO_ORGANISATION
+        val seconds = clock.elapsed(exchange.arrivedAt).toDouble(DurationUnit.SECONDS)
+        metrics.countRequest(organisation, exchange.journal.refusal?.code, seconds)
+    }
+
+    private fun unexpected(
+        exchange: Exchange,
+        failure: Throwable,
+    ): Answer {
+        val cause = if (failure is CompletionException) failure.cause ?: failure else failure
+        LogEvent.REQUEST_FAILED_UNEXPECTEDLY.log(logger, cause) { "request=${exchange.requestId}" }
+        val outcome = exchange.journal.errorOutcome()
+        return Answer.Refused(Refusal(ResultCode.INTERNAL_ERROR, "unexpected error", outcome))
+    }
+
+    private fun unreadable(
+        context: ServiceRequestContext,
+        headers: RequestHeaders,
+        cause: Throwable,
+    ): HttpResponse {
+        val exchange = exchangeOf(context, headers, HttpData.empty())
+        val code =
+            if (cause is ContentTooLargeException) ResultCode.BODY_TOO_LARGE else ResultCode.MALFORMED_REQUEST
+        return respond(context, exchange, Answer.Refused(Refusal.notRun(code, "${cause.message}")))
+    }
+
+    private fun exchangeOf(
+        context: ServiceRequestContext,
+        headers: RequestHeaders,
+        body: HttpData,
+    ): Exchange {
+        val now = clock.nanos()
+        val timeout =
+            headers
+                .get(TIMEOUT_HEADER)
+                ?.toLongOrNull()
+                ?.takeIf { it > 0 }
+                ?.milliseconds ?: requestTimeout
+        return Exchange(
+            RequestId(newRequestId()),
+            headers,
+            body,
+            arrivedAt = now,
+            deadline = now + minOf(timeout, requestTimeout).inWholeNanoseconds,
+            eventLoop = context.eventLoop().withoutContext(),
+        )
+    }
+
+    private fun newRequestId(): String {
+        val random = ThreadLocalRandom.current()
+        return random.nextLong().toULong().toString(HEXADECIMAL) + random.nextLong().toULong().toString(HEXADECIMAL)
+    }
+
+    private companion object {
+        /** Milliseconds that the caller waits at most. */
+        const val TIMEOUT_HEADER = "x-timeout-ms"
+        const val NO_ORGANISATION = "none"
+        const val HEXADECIMAL = 16
+    }
+}
--- /dev/null
+++ b/router/src/main/kotlin/dev/almondhaven/router/Router.kt
@@ -0,0 +1,135 @@
+package dev.almondhaven.router
+
+import com.linecorp.armeria.common.HttpResponse
+import com.linecorp.armeria.common.HttpStatus
+import com.linecorp.armeria.common.MediaType
+import com.linecorp.armeria.server.HttpService
+import com.linecorp.armeria.server.Server
+import com.linecorp.armeria.server.healthcheck.HealthCheckService
+import com.linecorp.armeria.server.healthcheck.HealthChecker
+import dev.almondhaven.model.LogEvent
+import dev.almondhaven.model.NanoClock
+import dev.almondhaven.platform.HttpObjectStore
+import dev.almondhaven.platform.ObjectStore
+import dev.almondhaven.router.controller.CatalogueHolder
+import dev.almondhaven.router.controller.ConfigurationWatcher
+import dev.almondhaven.router.endpoint.Dispatcher
+import dev.almondhaven.router.endpoint.EndpointClients
+import dev.almondhaven.router.filter.AdmissionFilter
+import dev.almondhaven.router.filter.EndpointChoiceFilter
+import dev.almondhaven.router.filter.IdentifyFilter
+import dev.almondhaven.router.filter.ModelChoiceFilter
+import dev.almondhaven.router.filter.ModelListFilter
+import dev.almondhaven.router.filter.ParseFilter
+import dev.almondhaven.router.filter.RequestHandler
+import dev.almondhaven.router.filter.filterChain
+import dev.almondhaven.router.settings.RouterSettings
+import io.github.oshai.kotlinlogging.KotlinLogging
+import java.net.InetSocketAddress
+import java.net.URI
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+private val logger = KotlinLogging.logger {}
+
+/**
+ * One router process: the server for callers, the filter chain and the controllers, put together from settings.
+ *
+ * ```
+ * Router.start(settings).use { router -> call(router.port) }
+ * ```
+ */
+public class Router private constructor(
+    private val settings: RouterSettings,
+    objects: ObjectStore,
+) : AutoCloseable {
+    private val clock = NanoClock.SYSTEM
+    private val metrics = RouterMetrics()
+    private val holder = CatalogueHolder()
+    private val workers = EndpointClients.newWorkers(Runtime.getRuntime().availableProcessors())
+    private val clients = EndpointClients(workers)
+    private val watcher = ConfigurationWatcher(objects, holder, settings.platform.watchWait)
+    private val server = buildServer()
+
+    @Volatile
+    private var draining = false
+
+    /** Port for callers. */
+    public val port: Int get() = server.activeLocalPort()
+
+    private fun start() {
+        metrics.gauge("almondhaven_configuration_generation", "Generation in force on this router.") {
+            holder.index.generation.value
+                .toDouble()
+        }
+        watcher.start()
+        server.start().join()
+        LogEvent.ROUTER_STARTED.log(logger) { "port=$port domain=${settings.process.failureDomain}" }
+    }
+
+    private fun chain(): RequestHandler =
+        filterChain(
+            listOf(
+                IdentifyFilter(holder),
+                ParseFilter(holder),
+                ModelListFilter(holder),
+                AdmissionFilter(settings.requests.inFlight),
+                ModelChoiceFilter(holder),
+                EndpointChoiceFilter(holder, settings.process.failureDomain),
+            ),
+            Dispatcher(holder, clients, clock),
+        )
+
+    private fun buildServer(): Server =
+        Server
+            .builder()
+            .http(socketAddress(settings.process.listen))
+            .workerGroup(workers, false)
+            .requestTimeoutMillis(0)
+            .maxRequestLength(settings.requests.bodyBytes)
+            .gracefulShutdownTimeoutMillis(QUIET_PERIOD.inWholeMilliseconds, DRAIN_TIMEOUT.inWholeMilliseconds)
+            .service("/health/live", HttpService { _, _ -> HttpResponse.of(HttpStatus.OK) })
+            .service("/health/ready", HealthCheckService.of(HealthChecker { holder.configured && !draining }))
+            .service("/metrics", HttpService { _, _ -> metricsResponse() })
+            .service("prefix:/", CallerService(chain(), metrics, settings.requests.requestTimeout, clock))
+            .build()
+
+    private fun metricsResponse(): HttpResponse =
+        HttpResponse.of(HttpStatus.OK, MediaType.PLAIN_TEXT_UTF_8, metrics.text())
+
+    private fun socketAddress(hostAndPort: String): InetSocketAddress {
+        val host = hostAndPort.substringBeforeLast(':').trim('[', ']')
+        return InetSocketAddress(host, hostAndPort.substringAfterLast(':').toInt())
+    }
+
+    /** Fails readiness, lets running requests finish within the drain deadline, and stops. */
+    override fun close() {
+        LogEvent.ROUTER_STOPPING.log(logger)
+        draining = true
+        server.stop().join()
+        watcher.close()
+        clients.close()
+        workers.shutdownGracefully(0, 0, TimeUnit.SECONDS)
+        LogEvent.ROUTER_STOPPED.log(logger)
+    }
+
+    /** Waits until the router has stopped. */
+    public fun join(): Unit = server.blockUntilShutdown()
+
+    public companion object {
+        private val QUIET_PERIOD: Duration = 50.milliseconds
+        private val DRAIN_TIMEOUT: Duration = 30.seconds
+
+        /** Starts a router against the platform that [settings] name. */
+        public fun start(settings: RouterSettings): Router =
+            start(settings, HttpObjectStore(URI(settings.platform.address), settings.platform.callTimeout))
+
+        /** Starts a router against [objects]. */
+        public fun start(
+            settings: RouterSettings,
+            objects: ObjectStore,
+        ): Router = Router(settings, objects).also { it.start() }
+    }
+}
--- /dev/null
+++ b/router/src/main/kotlin/dev/almondhaven/router/endpoint/Dispatcher.kt
@@ -0,0 +1,218 @@
+package dev.almondhaven.router.endpoint
+
+import com.linecorp.armeria.client.RequestOptions
+import com.linecorp.armeria.client.ResponseTimeoutException
+import com.linecorp.armeria.client.UnprocessedRequestException
+import com.linecorp.armeria.common.AggregatedHttpResponse
+import com.linecorp.armeria.common.HttpData
+import com.linecorp.armeria.common.HttpMethod
+import com.linecorp.armeria.common.HttpRequest
+import com.linecorp.armeria.common.HttpResponse
+import com.linecorp.armeria.common.HttpStatus
+import com.linecorp.armeria.common.HttpStatusClass
+import com.linecorp.armeria.common.MediaType
+import com.linecorp.armeria.common.RequestHeaders
+import com.linecorp.armeria.common.ResponseHeaders
+import com.linecorp.armeria.common.SplitHttpResponse
+import dev.almondhaven.model.LogEvent
+import dev.almondhaven.model.NanoClock
+import dev.almondhaven.model.Outcome
+import dev.almondhaven.model.Refusal
+import dev.almondhaven.model.ResultCode
+import dev.almondhaven.router.controller.CatalogueHolder
+import dev.almondhaven.router.filter.Answer
+import dev.almondhaven.router.filter.Call
+import dev.almondhaven.router.filter.Exchange
+import dev.almondhaven.router.filter.RequestHandler
+import dev.almondhaven.router.filter.completed
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.CompletionException
+import kotlin.time.Duration.Companion.nanoseconds
+
+private val logger = KotlinLogging.logger {}
+
+/**
+ * The end of the filter chain: sends the request to the chosen endpoint and reads its answer. Immediately before the
+ * dispatch it checks once more, against the newest catalogue, that the version is allowed.
+ */
+internal class Dispatcher(
+    private val holder: CatalogueHolder,
+    private val clients: EndpointClients,
+    private val clock: NanoClock,
+) : RequestHandler {
+    override fun handle(exchange: Exchange): CompletableFuture<Answer> {
+        val remaining = (exchange.deadline - clock.nanos()).nanoseconds
+        if (!remaining.isPositive()) {
+            return refused(exchange, ResultCode.DEADLINE_EXCEEDED, "the deadline passed before the dispatch")
+        }
+        val version = exchange.version
+        if (version != null && !holder.index.mayRun(exchange.organisation.id, version.id)) {
+            return refused(exchange, ResultCode.UNKNOWN_MODEL, "${version.id} is no longer allowed")
+        }
+        val options = RequestOptions.builder().responseTimeoutMillis(remaining.inWholeMilliseconds).build()
+        val response = clients.of(exchange.endpoint).execute(requestFor(exchange), options)
+        exchange.journal.recordDispatch()
+        val call = exchange.call
+        return if (call is Call.Model &&
+            call.streamed
+        ) {
+            readStream(exchange, response)
+        } else {
+            readWhole(exchange, response)
+        }
+    }
+
+    private fun requestFor(exchange: Exchange): HttpRequest =
+        when (val call = exchange.call) {
+            is Call.Model -> modelRequest(exchange, call)
+            is Call.Service -> serviceRequest(exchange, call)
+            Call.ModelList -> error("a model list is not dispatched")
+        }
+
+    private fun modelRequest(
+        exchange: Exchange,
+        call: Call.Model,
+    ): HttpRequest {
+        val version = checkNotNull(exchange.version) { "no version chosen: ${exchange.requestId}" }
+        val fields = LinkedHashMap(call.body)
+        fields["model"] = JsonPrimitive(version.id.toString())
+        if (call.streamed) fields["stream_options"] = INCLUDE_USAGE
+        val headers =
+            RequestHeaders
+                .builder(HttpMethod.POST, call.path)
+                .contentType(MediaType.JSON)
+                .set(REQUEST_ID, exchange.requestId.value)
+                .set(ORGANISATION, exchange.organisation.id.value)
+                .build()
+        return HttpRequest.of(headers, HttpData.ofUtf8(JsonObject(fields).toString()))
+    }
+
+    private fun serviceRequest(
+        exchange: Exchange,
+        call: Call.Service,
+    ): HttpRequest {
+        val headers =
+            RequestHeaders
+                .builder(exchange.method, call.path)
+                .set(REQUEST_ID, exchange.requestId.value)
+                .set(ORGANISATION, exchange.organisation.id.value)
+        exchange.headers.contentType()?.let { headers.contentType(it) }
+        exchange.headers.get(IDEMPOTENCY_KEY)?.let { headers.set(IDEMPOTENCY_KEY, it) }
+        return HttpRequest.of(headers.build(), exchange.body)
+    }
+
+    private fun readWhole(
+        exchange: Exchange,
+        response: HttpResponse,
+    ): CompletableFuture<Answer> =
+        response.aggregate().handle { aggregated, cause ->
+            if (cause != null) failure(exchange, cause) else wholeAnswer(exchange, aggregated)
+        }
+
+    private fun wholeAnswer(
+        exchange: Exchange,
+        response: AggregatedHttpResponse,
+    ): Answer {
+        if (exchange.call is Call.Model) {
+            if (response.status() != HttpStatus.OK) return badStatus(exchange, response.status())
+            val body =
+                parse(response.contentUtf8())
+                    ?: return bad(exchange, ResultCode.ANSWER_MALFORMED, "the answer isn't a JSON object")
+            AnswerFrames.usageOf(body)?.let { exchange.journal.recordUsage(it) }
+        } else if (response.status().codeClass() == HttpStatusClass.SERVER_ERROR) {
+            return badStatus(exchange, response.status())
+        }
+        recordServed(exchange)
+        val contentType = response.contentType() ?: MediaType.OCTET_STREAM
+        return Answer.Whole(response.status(), contentType, response.content())
+    }
+
+    private fun readStream(
+        exchange: Exchange,
+        response: HttpResponse,
+    ): CompletableFuture<Answer> {
+        val split = response.split()
+        return split.headers().handle { headers, cause ->
+            if (cause != null) failure(exchange, cause) else streamAnswer(exchange, headers, split)
+        }
+    }
+
+    private fun streamAnswer(
+        exchange: Exchange,
+        headers: ResponseHeaders,
+        split: SplitHttpResponse,
+    ): Answer {
+        if (headers.status() != HttpStatus.OK) {
+            split.body().abort()
+            return badStatus(exchange, headers.status())
+        }
+        recordServed(exchange)
+        val events = split.body().decode(ServerSentEventDecoder())
+        return Answer.Streamed(AnswerFrames(exchange.journal).of(events))
+    }
+
+    private fun recordServed(exchange: Exchange): Unit =
+        exchange.journal.recordServed(exchange.version?.id, exchange.endpoint.id)
+
+    private fun failure(
+        exchange: Exchange,
+        failure: Throwable,
+    ): Answer {
+        val cause = if (failure is CompletionException) failure.cause ?: failure else failure
+        return when (cause) {
+            is UnprocessedRequestException -> {
+                val refusal = Refusal(ResultCode.ENDPOINT_UNREACHABLE, "${cause.cause?.message}", Outcome.NOT_RUN)
+                Answer.Refused(refusal)
+            }
+
+            is ResponseTimeoutException -> {
+                bad(exchange, ResultCode.DEADLINE_EXCEEDED, "the deadline passed during the answer")
+            }
+
+            else -> {
+                bad(exchange, ResultCode.ANSWER_CUT, "the endpoint's answer broke off: ${cause.message}")
+            }
+        }
+    }
+
+    private fun badStatus(
+        exchange: Exchange,
+        status: HttpStatus,
+    ): Answer = bad(exchange, ResultCode.ENDPOINT_FAILED, "the endpoint answered $status")
+
+    private fun bad(
+        exchange: Exchange,
+        code: ResultCode,
+        detail: String,
+    ): Answer {
+        LogEvent.ENDPOINT_ANSWER_BAD.log(logger) {
+            "request=${exchange.requestId} endpoint=${exchange.endpoint.id} detail=$detail"
+        }
+        return Answer.Refused(Refusal(code, detail, exchange.journal.errorOutcome()))
+    }
+
+    private fun refused(
+        exchange: Exchange,
+        code: ResultCode,
+        detail: String,
+    ): CompletableFuture<Answer> = Answer.Refused(Refusal(code, detail, exchange.journal.errorOutcome())).completed()
+
+    private fun parse(text: String): JsonObject? =
+        try {
+            Json.parseToJsonElement(text) as? JsonObject
+        } catch (_: SerializationException) {
+            null
+        }
+
+    private companion object {
+        const val REQUEST_ID = "x-request-id"
+        const val ORGANISATION = "x-organisation"
+        const val IDEMPOTENCY_KEY = "idempotency-key"
+        val INCLUDE_USAGE = JsonObject(mapOf("include_usage" to JsonPrimitive(true)))
+    }
+}
--- /dev/null
+++ b/router/src/main/kotlin/dev/almondhaven/router/endpoint/EndpointClients.kt
@@ -0,0 +1,48 @@
+package dev.almondhaven.router.endpoint
+
+import com.linecorp.armeria.client.ClientFactory
+import com.linecorp.armeria.client.WebClient
+import com.linecorp.armeria.common.util.EventLoopGroups
+import dev.almondhaven.catalogue.Endpoint
+import io.netty.channel.EventLoopGroup
+import java.util.concurrent.ConcurrentHashMap
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** HTTP clients of the endpoints, one for each address, on the event loops that serve the callers. */
+public class EndpointClients(
+    workers: EventLoopGroup,
+    connectTimeout: Duration = DEFAULT_CONNECT_TIMEOUT,
+) : AutoCloseable {
+    private val factory =
+        ClientFactory
+            .builder()
+            .workerGroup(workers, false)
+            .connectTimeoutMillis(connectTimeout.inWholeMilliseconds)
+            .pingIntervalMillis(PING_INTERVAL.inWholeMilliseconds)
+            .build()
+    private val clients = ConcurrentHashMap<String, WebClient>()
+
+    /** The client of [endpoint]. */
+    public fun of(endpoint: Endpoint): WebClient = clients.computeIfAbsent(endpoint.address, ::build)
+
+    private fun build(address: String): WebClient =
+        WebClient
+            .builder("http://$address")
+            .factory(factory)
+            .maxResponseLength(MAXIMUM_ANSWER_BYTES)
+            .build()
+
+    override fun close() {
+        factory.closeAsync()
+    }
+
+    public companion object {
+        private val DEFAULT_CONNECT_TIMEOUT = 1.seconds
+        private val PING_INTERVAL = 10.seconds
+        private const val MAXIMUM_ANSWER_BYTES = 64_000_000L
+
+        /** Event loops for callers and endpoints together. */
+        public fun newWorkers(threads: Int): EventLoopGroup = EventLoopGroups.newEventLoopGroup(threads, "router")
+    }
+}
--- /dev/null
+++ b/router/src/main/kotlin/dev/almondhaven/router/filter/Exchange.kt
@@ -0,0 +1,57 @@
+package dev.almondhaven.router.filter
+
+import com.linecorp.armeria.common.HttpData
+import com.linecorp.armeria.common.HttpMethod
+import com.linecorp.armeria.common.RequestHeaders
+import dev.almondhaven.catalogue.Endpoint
+import dev.almondhaven.catalogue.ModelVersion
+import dev.almondhaven.catalogue.Organisation
+import dev.almondhaven.model.RequestId
+import io.netty.channel.EventLoop
+
+/**
+ * A request on its way through the filter chain. It is immutable: each filter passes on a copy with what it found out,
+ * so that a retry, a hedge or an escalation starts from the state before it. What belongs to the request as a whole is
+ * in [journal].
+ *
+ * @property arrivedAt monotonic nanoseconds.
+ * @property deadline monotonic nanoseconds after which the answer is worthless.
+ */
+public data class Exchange(
+    public val requestId: RequestId,
+    public val headers: RequestHeaders,
+    public val body: HttpData,
+    public val arrivedAt: Long,
+    public val deadline: Long,
+    public val eventLoop: EventLoop,
+    public val journal: RequestJournal = RequestJournal(),
+    private val identifiedOrganisation: Organisation? = null,
+    private val parsedCall: Call? = null,
+    private val chosenVersion: ModelVersion? = null,
+    private val chosenEndpoint: Endpoint? = null,
+) {
+    public val method: HttpMethod get() = headers.method()
+
+    /** The path with its query. */
+    public val path: String get() = headers.path()
+
+    /** The organisation; set by the identifying filter. */
+    public val organisation: Organisation get() = checkNotNull(identifiedOrganisation) { "not identified: $requestId" }
+
+    /** The call; set by the parsing filter. */
+    public val call: Call get() = checkNotNull(parsedCall) { "not parsed: $requestId" }
+
+    /** The model version chosen, or null for a plain service. */
+    public val version: ModelVersion? get() = chosenVersion
+
+    /** The endpoint; set by the endpoint choice. */
+    public val endpoint: Endpoint get() = checkNotNull(chosenEndpoint) { "no endpoint chosen: $requestId" }
+
+    public fun with(organisation: Organisation): Exchange = copy(identifiedOrganisation = organisation)
+
+    public fun with(call: Call): Exchange = copy(parsedCall = call)
+
+    public fun with(version: ModelVersion): Exchange = copy(chosenVersion = version)
+
+    public fun with(endpoint: Endpoint): Exchange = copy(chosenEndpoint = endpoint)
+}
--- /dev/null
+++ b/router/src/main/kotlin/dev/almondhaven/router/filter/RequestJournal.kt
@@ -0,0 +1,111 @@
+package dev.almondhaven.router.filter
+
+import dev.almondhaven.model.EndpointId
+import dev.almondhaven.model.ModelVersionId
+import dev.almondhaven.model.OrganisationId
+import dev.almondhaven.model.Outcome
+import dev.almondhaven.model.Refusal
+import java.util.concurrent.CompletableFuture
+
+/** Tokens that an answer cost. */
+public data class Usage(
+    public val promptTokens: Long,
+    public val completionTokens: Long,
+)
+
+/** A header that a filter adds to the answer; [name] is in lower case. */
+public data class AnswerHeader(
+    public val name: String,
+    public val value: String,
+)
+
+/** What has happened to a request so far, over all its attempts. Safe to use from any thread. */
+public class RequestJournal {
+    /** Whether a byte of the request may have reached an endpoint. */
+    @Volatile
+    public var dispatched: Boolean = false
+        private set
+
+    /** The version that gave the answer the caller gets. */
+    @Volatile
+    public var servedVersion: ModelVersionId? = null
+        private set
+
+    /** The endpoint that gave the answer the caller gets. */
+    @Volatile
+    public var servedEndpoint: EndpointId? = null
+        private set
+
+    /** Tokens of the answer the caller gets. */
+    @Volatile
+    public var usage: Usage? = null
+        private set
+
+    /** Notes that bytes of the request are about to be sent to an endpoint. */
+    public fun recordDispatch() {
+        dispatched = true
+    }
+
+    /** Notes who gives the answer. */
+    public fun recordServed(
+        version: ModelVersionId?,
+        endpoint: EndpointId,
+    ) {
+        servedVersion = version
+        servedEndpoint = endpoint
+    }
+
+    /** Notes whose request it is. */
+    public fun recordOrganisation(organisation: OrganisationId) {
+        this.organisation = organisation
+    }
+
+    /** Notes the error that the caller gets. */
+    public fun recordRefusal(refusal: Refusal) {
+        this.refusal = refusal
+    }
+
+    /** Adds a header to the answer; has an effect until the answer's headers are written. */
+    @Synchronized
+    public fun addAnswerHeader(
+        name: String,
+        value: String,
+    ) {
+        answerHeaders = answerHeaders + AnswerHeader(name, value)
+    }
+
+    /** Notes the tokens of the answer. */
+    public fun recordUsage(usage: Usage) {
+        this.usage = usage
+    }
+
+    /** The organisation that the request belongs to, once it is identified. */
+    @Volatile
+    public var organisation: OrganisationId? = null
+        private set
+
+    /** The error that the caller gets, if any. */
+    @Volatile
+    public var refusal: Refusal? = null
+        private set
+
+    /** Headers that filters add to the answer. */
+    @Volatile
+    public var answerHeaders: List<AnswerHeader> = emptyList()
+        private set
+
+    private val ended = CompletableFuture<Unit>()
+
+    /** Runs [action] once the request has ended: its answer is written whole, or failed, or the caller has left. */
+    public fun whenEnded(action: () -> Unit) {
+        ended.thenRun { action() }
+    }
+
+    /** Notes that the request has ended; only the first call has an effect. */
+    public fun recordEnd() {
+        ended.complete(Unit)
+    }
+
+    /** The outcome of an error: `not_run` only as long as nothing was dispatched. */
+    public fun errorOutcome(): Outcome = if (dispatched) Outcome.UNKNOWN else Outcome.NOT_RUN
+}
--- /dev/null
+++ b/stand-ins/src/main/kotlin/dev/almondhaven/standins/EngineBehaviour.kt
@@ -0,0 +1,35 @@
+package dev.almondhaven.standins
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** A fault that an engine stand-in shows on every request until it is changed. */
+public enum class EngineFault {
+    NONE,
+
+    /** Answers with status 500. */
+    ERROR,
+
+    /** Closes the answer in the middle. */
+    HALF_ANSWER,
+
+    /** Sends lines that aren't JSON. */
+    GARBAGE,
+
+    /** Accepts the request and never answers. */
+    SILENT,
+}
+
+/**
+ * How an engine stand-in behaves.
+ *
+ * @property timeToFirstToken delay before the first token.
+ * @property betweenTokens delay between tokens.
+ * @property tokens tokens generated when the request sets no `max_tokens`.
+ */
+public data class EngineBehaviour(
+    public val timeToFirstToken: Duration = 0.milliseconds,
+    public val betweenTokens: Duration = 0.milliseconds,
+    public val tokens: Int = 8,
+    public val fault: EngineFault = EngineFault.NONE,
+)
--- /dev/null
+++ b/stand-ins/src/main/kotlin/dev/almondhaven/standins/StandInsMain.kt
@@ -0,0 +1,62 @@
+package dev.almondhaven.standins
+
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.core.main
+import com.github.ajalt.clikt.core.subcommands
+import com.github.ajalt.clikt.parameters.options.default
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.options.required
+import com.github.ajalt.clikt.parameters.types.int
+import com.github.ajalt.clikt.parameters.types.long
+import com.linecorp.armeria.server.ServerBuilder
+import dev.almondhaven.platform.InMemoryObjectStore
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Starts stand-ins as processes of their own, for the try-out. */
+public fun main(arguments: Array<String>): Unit =
+    StandInsCommand()
+        .subcommands(ObjectStoreCommand(), EngineCommand(), ServiceCommand())
+        .main(arguments)
+
+private class StandInsCommand : CliktCommand(name = "stand-ins") {
+    override fun help(context: Context): String = "Stand-ins for the outside systems, on loopback."
+
+    override fun run(): Unit = Unit
+}
+
+private abstract class ServerCommand(
+    name: String,
+    private val about: String,
+) : CliktCommand(name = name) {
+    private val port by option(help = "Port to listen on.").int().required()
+
+    override fun help(context: Context): String = about
+
+    override fun run() {
+        StandInServer.start(port) { configure(it) }.join()
+    }
+
+    abstract fun configure(builder: ServerBuilder)
+}
+
+private class ObjectStoreCommand : ServerCommand("object-store", "The platform's object API, in memory.") {
+    override fun configure(builder: ServerBuilder): Unit = ObjectStoreServer(InMemoryObjectStore()).addTo(builder)
+}
+
+private class EngineCommand : ServerCommand("engine", "A model engine that generates numbered tokens.") {
+    private val firstToken by option(help = "Milliseconds to the first token.").long().default(DEFAULT_FIRST_TOKEN)
+    private val betweenTokens by option(help = "Milliseconds between tokens.").long().default(DEFAULT_BETWEEN_TOKENS)
+
+    override fun configure(builder: ServerBuilder): Unit =
+        EngineStandIn(EngineBehaviour(firstToken.milliseconds, betweenTokens.milliseconds)).addTo(builder)
+
+    private companion object {
+        const val DEFAULT_FIRST_TOKEN = 30L
+        const val DEFAULT_BETWEEN_TOKENS = 10L
+    }
+}
+
+private class ServiceCommand : ServerCommand("service", "A plain service that records every call it runs.") {
+    override fun configure(builder: ServerBuilder): Unit = ServiceStandIn().addTo(builder)
+}
