--- /dev/null
+++ b/router/src/main/kotlin/dev/almondhaven/router/CallerErrorHandler.kt
@@ -0,0 +1,40 @@
+package dev.almondhaven.router
+
+import com.linecorp.armeria.common.AggregatedHttpResponse
+import com.linecorp.armeria.common.HttpResponse
+import com.linecorp.armeria.common.HttpStatus
+import com.linecorp.armeria.common.MediaType
+import com.linecorp.armeria.common.RequestHeaders
+import com.linecorp.armeria.server.ServerErrorHandler
+import com.linecorp.armeria.server.ServiceConfig
+import com.linecorp.armeria.server.ServiceRequestContext
+import dev.almondhaven.model.Refusal
+import dev.almondhaven.model.ResultCode
+
+/** Gives requests that the HTTP server itself refuses the same numbered JSON as any other error. */
+internal object CallerErrorHandler : ServerErrorHandler {
+    override fun onServiceException(
+        context: ServiceRequestContext,
+        cause: Throwable,
+    ): HttpResponse? = null
+
+    override fun renderStatus(
+        context: ServiceRequestContext?,
+        config: ServiceConfig,
+        headers: RequestHeaders?,
+        status: HttpStatus,
+        description: String?,
+        cause: Throwable?,
+    ): AggregatedHttpResponse? {
+        val code =
+            when (status) {
+                HttpStatus.REQUEST_ENTITY_TOO_LARGE -> ResultCode.BODY_TOO_LARGE
+                HttpStatus.BAD_REQUEST -> ResultCode.MALFORMED_REQUEST
+                else -> return null
+            }
+        val body = ErrorBody.of(Refusal.notRun(code, description ?: status.reasonPhrase()), NO_REQUEST_ID)
+        return AggregatedHttpResponse.of(status, MediaType.JSON, body.toJson())
+    }
+
+    private const val NO_REQUEST_ID = "none"
+}
--- a/router/src/main/kotlin/dev/almondhaven/router/Router.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/Router.kt
@@ -88,6 +88,7 @@
             .http(socketAddress(settings.process.listen))
             .workerGroup(workers, false)
             .requestTimeoutMillis(0)
+            .errorHandler(CallerErrorHandler)
             .maxRequestLength(settings.requests.bodyBytes)
             .gracefulShutdownTimeoutMillis(QUIET_PERIOD.inWholeMilliseconds, DRAIN_TIMEOUT.inWholeMilliseconds)
             .service("/health/live", HttpService { _, _ -> HttpResponse.of(HttpStatus.OK) })
--- a/stand-ins/src/main/kotlin/dev/almondhaven/standins/StandInServer.kt
+++ b/stand-ins/src/main/kotlin/dev/almondhaven/standins/StandInServer.kt
@@ -28,8 +28,9 @@
     /** Waits until the server has stopped. */
     public fun join(): Unit = server.blockUntilShutdown()
 
+    /** Stops listening and closes connections in the background. */
     override fun close() {
-        server.stop().join()
+        server.stop()
     }
 
     public companion object {
