--- a/router/src/test/kotlin/dev/almondhaven/router/RouterPathTest.kt
+++ b/router/src/test/kotlin/dev/almondhaven/router/RouterPathTest.kt
@@ -98,7 +98,11 @@
         @Test
         fun `before any configuration is refused as not run`() {
             TestDeployment().use { unconfigured ->
-                val ready = unconfigured.client.get("/health/ready").aggregate().join()
+                val ready =
+                    unconfigured.client
+                        .get("/health/ready")
+                        .aggregate()
+                        .join()
 
                 expectThat(ready.status().isSuccess).isFalse()
                 expectThat(error(unconfigured.send(request)))
