--- /dev/null
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/membership/RendezvousHash.kt
@@ -0,0 +1,31 @@
+package dev.almondhaven.decision.membership
+
+import com.google.common.hash.Hashing
+
+/**
+ * Rendezvous (highest random weight) hashing: every router with the same view picks the same members for a key, and a
+ * member that comes or goes moves only its own keys.
+ *
+ * ```
+ * val owner = RendezvousHash.choose("claims/17", view.members, count = 1) { it.id.value }.firstOrNull()
+ * ```
+ */
+public object RendezvousHash {
+    private val hash = Hashing.farmHashFingerprint64()
+
+    /** The [count] candidates with the highest weight for [key], heaviest first. */
+    public fun <T> choose(
+        key: String,
+        candidates: List<T>,
+        count: Int,
+        name: (T) -> String,
+    ): List<T> {
+        require(count >= 0) { "count must not be negative, got $count" }
+        return candidates.sortedByDescending { weight(key, name(it)).toULong() }.take(count)
+    }
+
+    private fun weight(
+        key: String,
+        name: String,
+    ): Long = hash.hashUnencodedChars("$key\u0000$name").asLong()
+}
