--- /dev/null
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/choice/EvidenceTotals.kt
@@ -0,0 +1,30 @@
+package dev.almondhaven.decision.choice
+
+import dev.almondhaven.model.Generation
+import dev.almondhaven.model.ModelVersionId
+import dev.almondhaven.model.TaskClass
+
+/** The fleet's evidence at one moment, by subject and bucket. */
+public class EvidenceTotals(
+    private val tallies: Map<EvidenceSubject, Map<Long, Tally>>,
+) {
+    /** Task classes that [version], as defined in [definedIn], has evidence of. */
+    public fun taskClasses(
+        version: ModelVersionId,
+        definedIn: Generation,
+    ): List<TaskClass> = tallies.keys.filter { it.version == version && it.definedIn == definedIn }.map { it.taskClass }
+
+    /** Sum of [subject]'s tallies over the buckets in [range]. */
+    public fun sum(
+        subject: EvidenceSubject,
+        range: LongRange,
+    ): Tally =
+        tallies[subject]
+            .orEmpty()
+            .filterKeys { it in range }
+            .values
+            .fold(Tally.EMPTY, Tally::plus)
+
+    /** The tallies of [subject] by bucket. */
+    public fun buckets(subject: EvidenceSubject): Map<Long, Tally> = tallies[subject].orEmpty()
+}
--- /dev/null
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/choice/VersionEstimate.kt
@@ -0,0 +1,132 @@
+package dev.almondhaven.decision.choice
+
+import dev.almondhaven.catalogue.ModelVersion
+import dev.almondhaven.model.TaskClass
+import kotlin.math.pow
+import kotlin.math.sqrt
+
+/**
+ * What is believed of a version's answers in one task class.
+ *
+ * @property quality posterior mean, from 0 to 1.
+ * @property deviation posterior standard deviation of [quality].
+ * @property ratings decayed count of ratings behind it, without the prior.
+ * @property acceptance expected share of answers at or above each confidence band.
+ * @property acceptedQuality expected quality of the answers at or above each confidence band.
+ * @property millisecondsPerToken expected time per generated token; the time to the first one is spread over them.
+ */
+public class VersionEstimate(
+    public val quality: Double,
+    public val deviation: Double,
+    public val ratings: Double,
+    private val acceptance: DoubleArray,
+    private val acceptedQuality: DoubleArray,
+    public val millisecondsPerToken: Double,
+) {
+    /** Expected share of answers at or above [band]. */
+    public fun acceptance(band: ConfidenceBand): Double = acceptance[band.ordinal]
+
+    /** Expected quality of answers at or above [band]. */
+    public fun acceptedQuality(band: ConfidenceBand): Double = acceptedQuality[band.ordinal]
+
+    public companion object {
+        /** Time after which a rating counts half, in milliseconds. */
+        public const val HALF_LIFE_MILLIS: Double = 12.0 * 3_600_000
+
+        private const val DEFAULT_MILLISECONDS_PER_TOKEN = 30.0
+        private const val BAND_PRIOR_WEIGHT = 20.0
+        private const val MILLISECONDS_OF_FIRST_LATENCY_BAND = 1.0
+        private const val OCTAVES_PER_BAND = 0.5
+        private const val HIGHEST_PRIOR = 0.99
+        private val PRIOR_BAND_SHARES = doubleArrayOf(0.02, 0.18, 0.4, 0.4)
+
+        /** How far the bands' quality lies from the version's before any rating; they weigh out to 0. */
+        private val PRIOR_BAND_OFFSETS = doubleArrayOf(-0.4, -0.2, 0.01, 0.1)
+
+        /**
+         * The estimate for [version] in [taskClass] from its [buckets] of evidence at [epochMillis].
+         *
+         * Quality is estimated per confidence band and weighted by the bands' shares, since the answers of a cascade's
+         * first step that are delivered, and so rated, are the confident ones only.
+         */
+        public fun of(
+            version: ModelVersion,
+            taskClass: TaskClass,
+            buckets: Map<Long, Tally>,
+            epochMillis: Long,
+        ): VersionEstimate {
+            val evidence = DecayedEvidence(buckets, epochMillis)
+            val bands = ConfidenceBand.ALL.map { bandEstimate(version, taskClass, evidence, it.ordinal) }
+            val acceptance = DoubleArray(bands.size)
+            val acceptedQuality = DoubleArray(bands.size)
+            var share = 0.0
+            var quality = 0.0
+            for (band in bands.indices.reversed()) {
+                share += bands[band].share
+                quality += bands[band].share * bands[band].quality
+                acceptance[band] = share
+                acceptedQuality[band] = quality / share
+            }
+            return VersionEstimate(
+                quality,
+                sqrt(bands.sumOf { it.share * it.share * it.variance }),
+                evidence.ratings.sum(),
+                acceptance,
+                acceptedQuality,
+                millisecondsPerToken(buckets),
+            )
+        }
+
+        private fun bandEstimate(
+            version: ModelVersion,
+            taskClass: TaskClass,
+            evidence: DecayedEvidence,
+            band: Int,
+        ): BandEstimate {
+            val answers = BAND_PRIOR_WEIGHT + evidence.answers.sum()
+            val share = (PRIOR_BAND_SHARES[band] * BAND_PRIOR_WEIGHT + evidence.answers[band]) / answers
+            val prior = (version.quality.of(taskClass) + PRIOR_BAND_OFFSETS[band]).coerceIn(0.0, HIGHEST_PRIOR)
+            val weight = version.quality.weight.coerceAtLeast(1.0) * PRIOR_BAND_SHARES[band]
+            val total = weight + evidence.ratings[band]
+            val quality = (prior * weight + evidence.ratingSums[band]) / total
+            return BandEstimate(share, quality, quality * (1 - quality) / (total + 1))
+        }
+
+        private fun millisecondsPerToken(buckets: Map<Long, Tally>): Double {
+            val newest =
+                buckets.entries
+                    .filter { it.value.timed > 0 }
+                    .maxByOrNull { it.key }
+                    ?.value
+            newest ?: return DEFAULT_MILLISECONDS_PER_TOKEN
+            return MILLISECONDS_OF_FIRST_LATENCY_BAND * 2.0.pow(newest.latencyQuantileBand(0.5) * OCTAVES_PER_BAND)
+        }
+    }
+}
+
+private class BandEstimate(
+    val share: Double,
+    val quality: Double,
+    val variance: Double,
+)
+
+private class DecayedEvidence(
+    buckets: Map<Long, Tally>,
+    epochMillis: Long,
+) {
+    val answers = DoubleArray(ConfidenceBand.ALL.size)
+    val ratings = DoubleArray(ConfidenceBand.ALL.size)
+    val ratingSums = DoubleArray(ConfidenceBand.ALL.size)
+
+    init {
+        for ((bucket, tally) in buckets) {
+            val age = (epochMillis - bucket * EvidencePool.BUCKET_MILLIS).coerceAtLeast(0)
+            val weight = 0.5.pow(age / VersionEstimate.HALF_LIFE_MILLIS)
+            for (band in ConfidenceBand.ALL) {
+                answers[band.ordinal] += weight * tally.answers(band)
+                ratings[band.ordinal] += weight * tally.ratings(band)
+                ratingSums[band.ordinal] += weight * tally.ratingSum(band)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/rollout/RollOutStage.kt
@@ -0,0 +1,48 @@
+package dev.almondhaven.decision.rollout
+
+import com.google.common.hash.Hashing
+import dev.almondhaven.catalogue.ModelVersion
+import dev.almondhaven.catalogue.RollOut
+import dev.almondhaven.model.ModelVersionId
+
+/** Which new sessions start on a version that is being rolled out. Every router finds the same answer. */
+public object RollOutStage {
+    private const val MINUTE_MILLIS = 60_000L
+    private val hash = Hashing.murmur3_128()
+
+    /** Share of new sessions at [epochMillis]: that of the stage under way, 1 after the last one, 0 before the first. */
+    public fun share(
+        rollOut: RollOut,
+        epochMillis: Long,
+    ): Double {
+        var stageEnd = rollOut.startedAt
+        if (epochMillis < stageEnd) return 0.0
+        for (step in rollOut.steps) {
+            stageEnd += step.minutes * MINUTE_MILLIS
+            if (epochMillis < stageEnd) return step.share
+        }
+        return 1.0
+    }
+
+    /**
+     * Whether the session or request with [key] belongs to the part of the traffic that starts on [version]. The parts
+     * only grow from stage to stage, so a session that was in stays in.
+     */
+    public fun takes(
+        version: ModelVersion,
+        key: String,
+        epochMillis: Long,
+    ): Boolean {
+        val rollOut = version.rollOut ?: return true
+        return position(version.id, key) < share(rollOut, epochMillis)
+    }
+
+    /** The place of [key] in the roll-out of [version], evenly spread from 0 until 1. */
+    public fun position(
+        version: ModelVersionId,
+        key: String,
+    ): Double {
+        val bits = hash.hashUnencodedChars("$version\u0000$key").asLong()
+        return (bits ushr 11).toDouble() / (1L shl 53)
+    }
+}
--- a/model/src/main/kotlin/dev/almondhaven/catalogue/CatalogueFold.kt
+++ b/model/src/main/kotlin/dev/almondhaven/catalogue/CatalogueFold.kt
@@ -69,7 +69,10 @@
     changes: ModelChanges,
     problems: MutableList<Problem>,
 ): List<ModelVersion> {
-    val kept = models.fold(Changes("models", changes.added, changes.changed, emptyList()), ModelVersion::id, problems)
+    val next = generation.next()
+    val added = changes.added.map { it.copy(definedIn = next) }
+    val changed = changes.changed.map { it.copy(definedIn = next) }
+    val kept = models.fold(Changes("models", added, changed, emptyList()), ModelVersion::id, problems)
     return changes.withdrawn.foldIndexed(kept) { index, versions, withdrawal ->
         val known = versions.any { it.model == withdrawal.model && it.version == withdrawal.version }
         if (!known) {
--- a/model/src/main/kotlin/dev/almondhaven/catalogue/ModelVersion.kt
+++ b/model/src/main/kotlin/dev/almondhaven/catalogue/ModelVersion.kt
@@ -1,6 +1,7 @@
 package dev.almondhaven.catalogue
 
 import dev.almondhaven.model.AdapterId
+import dev.almondhaven.model.Generation
 import dev.almondhaven.model.ModelId
 import dev.almondhaven.model.ModelVersionId
 import dev.almondhaven.model.TaskClass
@@ -97,6 +98,7 @@
  *
  * @property successor version that sessions move to once this one is withdrawn.
  * @property promptTokensLimit longest prompt the version accepts, in tokens.
+ * @property definedIn generation of the note that added or last changed the version; the fold sets it.
  */
 @Serializable
 public data class ModelVersion(
@@ -109,6 +111,7 @@
     public val rollOut: RollOut? = null,
     public val adapters: List<AdapterId> = emptyList(),
     public val promptTokensLimit: Int = DEFAULT_PROMPT_TOKENS_LIMIT,
+    public val definedIn: Generation = Generation.NONE,
 ) {
     /** Model and version together. */
     public val id: ModelVersionId get() = ModelVersionId(model, version)
