Add the frame for measurements: experiments, reports, plots, the router's overhead

Cause: every matter needs a measurement that can be run again. Change: Experiment, ExperimentReport (Markdown, SVG by JFreeChart), bin/measure and a closed-loop load against the real router. Conclusion: compiles and is wired.

--- /dev/null
+++ b/experiments/src/main/kotlin/dev/almondhaven/experiments/Experiments.kt
@@ -0,0 +1,12 @@
+package dev.almondhaven.experiments
+
+import dev.almondhaven.experiments.overhead.OverheadExperiment
+
+/** Every experiment that `bin/measure` knows. */
+public object Experiments {
+    /** All experiments, in the order in which `bin/measure all` runs them. */
+    public val ALL: List<Experiment> =
+        listOf(
+            OverheadExperiment(),
+        )
+}
--- /dev/null
+++ b/experiments/src/main/kotlin/dev/almondhaven/experiments/overhead/ClosedLoopLoad.kt
@@ -0,0 +1,87 @@
+package dev.almondhaven.experiments.overhead
+
+import com.linecorp.armeria.client.WebClient
+import com.linecorp.armeria.common.AggregatedHttpResponse
+import com.linecorp.armeria.common.HttpRequest
+import org.HdrHistogram.ConcurrentHistogram
+import org.HdrHistogram.Histogram
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.nanoseconds
+
+/**
+ * What a load run saw.
+ *
+ * @property latency latencies in nanoseconds.
+ */
+public class LoadResult(
+    public val latency: Histogram,
+    public val elapsed: Duration,
+    public val failures: Int,
+) {
+    /** Requests per second. */
+    public val rate: Double get() = latency.totalCount / (elapsed.inWholeNanoseconds / NANOS_PER_SECOND)
+
+    private companion object {
+        const val NANOS_PER_SECOND = 1e9
+    }
+}
+
+/** Sends a fixed number of requests with a fixed number in flight, each worker waiting for its answer. */
+public class ClosedLoopLoad(
+    private val client: WebClient,
+    private val request: () -> HttpRequest,
+) {
+    /** Runs [requests] requests with [concurrency] in flight. */
+    public fun run(
+        requests: Int,
+        concurrency: Int,
+    ): LoadResult {
+        val latency = ConcurrentHistogram(HIGHEST_NANOS, DIGITS)
+        val remaining = AtomicInteger(requests)
+        val failures = AtomicInteger()
+        val started = System.nanoTime()
+        val workers = List(concurrency) { worker(remaining, latency, failures) }
+        CompletableFuture.allOf(*workers.toTypedArray()).join()
+        return LoadResult(latency, (System.nanoTime() - started).nanoseconds, failures.get())
+    }
+
+    private fun worker(
+        remaining: AtomicInteger,
+        latency: Histogram,
+        failures: AtomicInteger,
+    ): CompletableFuture<Void> {
+        val done = CompletableFuture<Void>()
+        next(remaining, latency, failures, done)
+        return done
+    }
+
+    private fun next(
+        remaining: AtomicInteger,
+        latency: Histogram,
+        failures: AtomicInteger,
+        done: CompletableFuture<Void>,
+    ) {
+        if (remaining.getAndDecrement() <= 0) {
+            done.complete(null)
+            return
+        }
+        val started = System.nanoTime()
+        client.execute(request()).aggregate().handle { response, cause ->
+            latency.recordValue(System.nanoTime() - started)
+            if (failed(response, cause)) failures.incrementAndGet()
+            next(remaining, latency, failures, done)
+        }
+    }
+
+    private fun failed(
+        response: AggregatedHttpResponse?,
+        cause: Throwable?,
+    ): Boolean = cause != null || response == null || !response.status().isSuccess
+
+    private companion object {
+        const val HIGHEST_NANOS = 60_000_000_000L
+        const val DIGITS = 3
+    }
+}
