--- a/decision/src/main/kotlin/dev/almondhaven/decision/choice/EvidencePool.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/choice/EvidencePool.kt
@@ -4,6 +4,7 @@
 import dev.almondhaven.model.ModelVersionId
 import dev.almondhaven.model.RouterId
 import dev.almondhaven.model.TaskClass
+import java.util.TreeMap
 
 /**
  * What a tally is about. A version that a note defines anew starts with new evidence.
@@ -25,20 +26,23 @@
 
 /**
  * Evidence of all routers. Recent buckets are kept per router, so that merging is commutative, associative and
- * idempotent; a bucket that is older than [OPEN_BUCKETS] is sealed: summed over routers, and closed to late readings,
- * so that memory doesn't grow with the fleet. Not safe for use by several threads.
+ * idempotent; a bucket that is older than [OPEN_BUCKETS] is sealed: only the sum over routers stays, and late readings
+ * of it are dropped, so that memory doesn't grow with the fleet. Not safe for use by several threads.
  */
 public class EvidencePool(
     private val self: RouterId,
 ) {
     private val open = HashMap<EvidenceCell, Tally>()
-    private val sealed = HashMap<EvidenceSubject, java.util.TreeMap<Long, Tally>>()
-    private val dirty = LinkedHashSet<EvidenceCell>()
+    private val fleet = HashMap<EvidenceSubject, TreeMap<Long, Tally>>()
+    private val untold = LinkedHashMap<EvidenceCell, Int>()
     private var firstOpenBucket = 0L
 
     /** Open cells; what merging works on. */
     public val cells: Map<EvidenceCell, Tally> get() = open
 
+    /** The fleet's evidence; it changes along with the pool. */
+    public val totals: EvidenceTotals = EvidenceTotals(fleet)
+
     /** Changes this router's own tally of [subject] in the bucket of [epochMillis]. */
     public fun record(
         subject: EvidenceSubject,
@@ -47,8 +51,7 @@
     ) {
         val bucket = maxOf(bucketOf(epochMillis), firstOpenBucket)
         val cell = EvidenceCell(self, subject, bucket)
-        open[cell] = change(open[cell] ?: Tally.EMPTY)
-        markDirty(cell)
+        replace(cell, change(open[cell] ?: Tally.EMPTY))
     }
 
     /** Takes another reading of [cell]; returns whether it held anything new. */
@@ -60,8 +63,7 @@
         val held = open[cell]
         if (held != null && held.covers(tally)) return false
         if (held == null && open.size >= MAXIMUM_OPEN_CELLS) return false
-        open[cell] = held?.merge(tally) ?: tally
-        markDirty(cell)
+        replace(cell, held?.merge(tally) ?: tally)
         return true
     }
 
@@ -70,65 +72,38 @@
         val first = bucketOf(epochMillis) - OPEN_BUCKETS + 1
         if (first <= firstOpenBucket) return
         firstOpenBucket = first
-        val closing = open.entries.filter { it.key.bucket < first }
-        for ((cell, tally) in closing) {
-            val buckets = sealed.getOrPut(cell.subject) { java.util.TreeMap() }
-            buckets.merge(cell.bucket, tally) { left, right -> left + right }
-            open.remove(cell)
-            dirty.remove(cell)
-        }
+        open.keys.removeIf { it.bucket < first }
+        untold.keys.removeIf { it.bucket < first }
         val oldest = first - KEPT_BUCKETS
-        sealed.values.forEach { it.headMap(oldest).clear() }
-        sealed.values.removeIf { it.isEmpty() }
-    }
-
-    /** Every subject with evidence. */
-    public fun subjects(): Set<EvidenceSubject> = sealed.keys + open.keys.map { it.subject }
-
-    /** The fleet's tally by subject and bucket, open buckets included. */
-    public fun totals(): EvidenceTotals {
-        val totals = HashMap<EvidenceSubject, HashMap<Long, Tally>>()
-        for ((subject, buckets) in sealed) totals[subject] = HashMap(buckets)
-        for ((cell, tally) in open) {
-            totals
-                .getOrPut(cell.subject) { HashMap() }
-                .merge(cell.bucket, tally) { left, right -> left + right }
-        }
-        return EvidenceTotals(totals)
+        fleet.values.forEach { it.headMap(oldest).clear() }
+        fleet.values.removeIf { it.isEmpty() }
     }
 
-    /**
-     * Up to [count] cells to tell others: changed ones first, in the order of change, [urgent] ones before the rest;
-     * each call goes on where the last one ended.
-     */
+    /** Up to [count] cells to tell a peer, those that changed longest ago first, [urgent] ones before the rest. */
     public fun nextToTell(
         count: Int,
         urgent: (EvidenceSubject) -> Boolean = { false },
     ): List<Pair<EvidenceCell, Tally>> {
-        val first =
-            dirty
-                .asSequence()
-                .filter { urgent(it.subject) }
-                .take(count)
-                .toList()
-        val rest =
-            dirty
-                .asSequence()
-                .filterNot { urgent(it.subject) }
-                .take(count - first.size)
-                .toList()
+        val first = untold.keys.filter { urgent(it.subject) }.take(count)
+        val rest = untold.keys.filterNot { urgent(it.subject) }.take(count - first.size)
         val chosen = first + rest
-        dirty.removeAll(chosen.toSet())
+        chosen.forEach { told(it) }
         return chosen.mapNotNull { cell -> open[cell]?.let { cell to it } }
     }
 
-    /** Marks this router's own cells to be told again, so that a lost message is made up for. */
-    public fun repeatOwn() {
-        open.keys.filter { it.origin == self }.forEach { markDirty(it) }
+    private fun replace(
+        cell: EvidenceCell,
+        tally: Tally,
+    ) {
+        val grown = tally - (open.put(cell, tally) ?: Tally.EMPTY)
+        fleet.getOrPut(cell.subject) { TreeMap() }.merge(cell.bucket, grown) { left, right -> left + right }
+        untold.putIfAbsent(cell, TELLINGS)
+        untold.replace(cell, TELLINGS)
     }
 
-    private fun markDirty(cell: EvidenceCell) {
-        dirty.add(cell)
+    private fun told(cell: EvidenceCell) {
+        val left = (untold.remove(cell) ?: return) - 1
+        if (left > 0) untold[cell] = left
     }
 
     public companion object {
@@ -144,6 +119,9 @@
         /** Bound on memory, about 400 bytes a cell. */
         public const val MAXIMUM_OPEN_CELLS: Int = 60_000
 
+        /** Peers that hear of each change from this router. */
+        private const val TELLINGS = 4
+
         /** The bucket of [epochMillis]. */
         public fun bucketOf(epochMillis: Long): Long = Math.floorDiv(epochMillis, BUCKET_MILLIS)
     }
--- a/decision/src/main/kotlin/dev/almondhaven/decision/choice/EvidenceTotals.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/choice/EvidenceTotals.kt
@@ -3,10 +3,11 @@
 import dev.almondhaven.model.Generation
 import dev.almondhaven.model.ModelVersionId
 import dev.almondhaven.model.TaskClass
+import java.util.NavigableMap
 
 /** The fleet's evidence at one moment, by subject and bucket. */
 public class EvidenceTotals(
-    private val tallies: Map<EvidenceSubject, Map<Long, Tally>>,
+    private val tallies: Map<EvidenceSubject, NavigableMap<Long, Tally>>,
 ) {
     /** Task classes that [version], as defined in [definedIn], has evidence of. */
     public fun taskClasses(
@@ -18,13 +19,14 @@
     public fun sum(
         subject: EvidenceSubject,
         range: LongRange,
-    ): Tally =
-        tallies[subject]
-            .orEmpty()
-            .filterKeys { it in range }
-            .values
-            .fold(Tally.EMPTY, Tally::plus)
+    ): Tally {
+        val buckets = tallies[subject] ?: return Tally.EMPTY
+        return Tally.sum(buckets.subMap(range.first, range.last + 1).values)
+    }
 
     /** The tallies of [subject] by bucket. */
     public fun buckets(subject: EvidenceSubject): Map<Long, Tally> = tallies[subject].orEmpty()
+
+    /** Every subject with evidence. */
+    public val subjects: Set<EvidenceSubject> get() = tallies.keys
 }
--- a/decision/src/main/kotlin/dev/almondhaven/decision/choice/Tally.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/choice/Tally.kt
@@ -16,10 +16,16 @@
     public val errors: Long get() = counters[ERRORS]
 
     /** Ratings that came in. */
-    public val ratings: Long get() = ConfidenceBand.ALL.sumOf { ratings(it) }
+    public val ratings: Long get() = unjudgedRatings + ConfidenceBand.ALL.sumOf { ratings(it) }
 
     /** Sum of the ratings, each from 0 to 1. */
-    public val ratingSum: Double get() = ConfidenceBand.ALL.sumOf { ratingSum(it) }
+    public val ratingSum: Double get() = unjudgedRatingSum + ConfidenceBand.ALL.sumOf { ratingSum(it) }
+
+    /** Ratings of answers whose confidence isn't known. */
+    public val unjudgedRatings: Long get() = counters[UNJUDGED_RATINGS]
+
+    /** Sum of the ratings of answers whose confidence isn't known. */
+    public val unjudgedRatingSum: Double get() = counters[UNJUDGED_RATING_SUM] / RATING_UNITS
 
     /** Requests whose latency is known. */
     public val timed: Long get() = (0 until LATENCY_BANDS).sumOf { counters[LATENCIES + it] }
@@ -61,15 +67,16 @@
         return Tally(next)
     }
 
-    /** With one more rating, from 0 to 1, of an answer whose confidence was [confidence]. */
+    /** With one more rating, from 0 to 1, of an answer whose confidence was [confidence], if that is known. */
     public fun plusRating(
         rating: Double,
-        confidence: ConfidenceBand,
+        confidence: ConfidenceBand?,
     ): Tally {
         require(rating in 0.0..1.0) { "rating must be from 0 to 1, got $rating" }
         val next = counters.copyOf()
-        next[RATINGS + confidence.ordinal]++
-        next[RATING_SUMS + confidence.ordinal] += (rating * RATING_UNITS).toLong()
+        next[if (confidence == null) UNJUDGED_RATINGS else RATINGS + confidence.ordinal]++
+        val sum = if (confidence == null) UNJUDGED_RATING_SUM else RATING_SUMS + confidence.ordinal
+        next[sum] += Math.round(rating * RATING_UNITS)
         return Tally(next)
     }
 
@@ -79,6 +86,9 @@
     /** The sum of two routers' or two buckets' tallies. */
     public operator fun plus(other: Tally): Tally = Tally(LongArray(SIZE) { counters[it] + other.counters[it] })
 
+    /** What this reading counts beyond the earlier reading [other]. */
+    public operator fun minus(other: Tally): Tally = Tally(LongArray(SIZE) { counters[it] - other.counters[it] })
+
     /** Whether [merge] with [other] would change nothing. */
     public fun covers(other: Tally): Boolean = counters.indices.all { counters[it] >= other.counters[it] }
 
@@ -100,8 +110,10 @@
         private const val ANSWERS = 2
         private const val RATINGS = 6
         private const val RATING_SUMS = 10
-        private const val LATENCIES = 14
-        private const val SIZE = 32
+        private const val UNJUDGED_RATINGS = 14
+        private const val UNJUDGED_RATING_SUM = 15
+        private const val LATENCIES = 16
+        private const val SIZE = 34
         private const val RADIX = 36
 
         /** A rating is counted in thousandths. */
@@ -115,6 +127,15 @@
         /** No request at all. */
         public val EMPTY: Tally = Tally(LongArray(SIZE))
 
+        /** The sum of [tallies]. */
+        public fun sum(tallies: Iterable<Tally>): Tally {
+            val sums = LongArray(SIZE)
+            for (tally in tallies) {
+                for (index in 0 until SIZE) sums[index] += tally.counters[index]
+            }
+            return Tally(sums)
+        }
+
         /** The latency band of [millisecondsPerToken]. */
         public fun latencyBand(millisecondsPerToken: Double): Int {
             if (millisecondsPerToken <= 1.0) return 0
--- a/decision/src/main/kotlin/dev/almondhaven/decision/choice/VersionEstimate.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/choice/VersionEstimate.kt
@@ -70,7 +70,7 @@
             return VersionEstimate(
                 quality,
                 sqrt(bands.sumOf { it.share * it.share * it.variance }),
-                evidence.ratings.sum(),
+                evidence.ratings.sum() + evidence.unjudgedRatings,
                 acceptance,
                 acceptedQuality,
                 millisecondsPerToken(buckets),
@@ -85,10 +85,13 @@
         ): BandEstimate {
             val answers = BAND_PRIOR_WEIGHT + evidence.answers.sum()
             val share = (PRIOR_BAND_SHARES[band] * BAND_PRIOR_WEIGHT + evidence.answers[band]) / answers
-            val prior = (version.quality.of(taskClass) + PRIOR_BAND_OFFSETS[band]).coerceIn(0.0, HIGHEST_PRIOR)
+            val expected = version.quality.of(taskClass)
+            val prior = (expected + PRIOR_BAND_OFFSETS[band]).coerceIn(0.0, HIGHEST_PRIOR)
             val weight = version.quality.weight.coerceAtLeast(1.0) * PRIOR_BAND_SHARES[band]
-            val total = weight + evidence.ratings[band]
-            val quality = (prior * weight + evidence.ratingSums[band]) / total
+            val unjudged = evidence.unjudgedRatings * share
+            val unjudgedQuality = (evidence.unjudgedMean(expected) + PRIOR_BAND_OFFSETS[band]).coerceIn(0.0, 1.0)
+            val total = weight + evidence.ratings[band] + unjudged
+            val quality = (prior * weight + evidence.ratingSums[band] + unjudgedQuality * unjudged) / total
             return BandEstimate(share, quality, quality * (1 - quality) / (total + 1))
         }
 
@@ -117,11 +120,16 @@
     val answers = DoubleArray(ConfidenceBand.ALL.size)
     val ratings = DoubleArray(ConfidenceBand.ALL.size)
     val ratingSums = DoubleArray(ConfidenceBand.ALL.size)
+    var unjudgedRatings = 0.0
+        private set
+    private var unjudgedRatingSum = 0.0
 
     init {
         for ((bucket, tally) in buckets) {
             val age = (epochMillis - bucket * EvidencePool.BUCKET_MILLIS).coerceAtLeast(0)
             val weight = 0.5.pow(age / VersionEstimate.HALF_LIFE_MILLIS)
+            unjudgedRatings += weight * tally.unjudgedRatings
+            unjudgedRatingSum += weight * tally.unjudgedRatingSum
             for (band in ConfidenceBand.ALL) {
                 answers[band.ordinal] += weight * tally.answers(band)
                 ratings[band.ordinal] += weight * tally.ratings(band)
@@ -129,4 +137,8 @@
             }
         }
     }
+
+    /** Mean of the ratings of answers whose confidence isn't known, or [otherwise] when there is none. */
+    fun unjudgedMean(otherwise: Double): Double =
+        if (unjudgedRatings == 0.0) otherwise else unjudgedRatingSum / unjudgedRatings
 }
--- /dev/null
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/rollout/QuarantinePolicy.kt
@@ -0,0 +1,55 @@
+package dev.almondhaven.decision.rollout
+
+import dev.almondhaven.catalogue.Catalogue
+import dev.almondhaven.catalogue.ModelVersion
+import dev.almondhaven.catalogue.VersionState
+import dev.almondhaven.decision.choice.EvidenceTotals
+import dev.almondhaven.model.ModelVersionId
+import dev.almondhaven.model.RouterId
+
+/** Decides which versions go into quarantine, on the evidence that one router holds. */
+public class QuarantinePolicy(
+    private val self: RouterId,
+    limits: TrialLimits,
+) {
+    private val trial = VersionTrial(limits)
+
+    /**
+     * New quarantines for [catalogue] beside those [held]. Quarantines that rest on ratings alone never cover more than
+     * half of the versions in service, since ratings come from outside.
+     */
+    public fun decide(
+        catalogue: Catalogue,
+        held: QuarantineSet,
+        evidence: EvidenceTotals,
+        epochMillis: Long,
+    ): List<Quarantine> {
+        val active = catalogue.models.filter { it.state == VersionState.ACTIVE }
+        val byId = active.associateBy { it.id }
+        val distrusted = RatingTrust.distrustedBuckets(evidence)
+        var byRatings = active.count { held.find(it)?.evidence?.measure == TrialMeasure.RATINGS }
+        return active.filterNot { held.holds(it) }.mapNotNull { version ->
+            val found = trial.verdict(version, predecessor(version, byId), evidence, epochMillis, distrusted)
+            val byRating = found?.measure == TrialMeasure.RATINGS
+            when {
+                found == null -> {
+                    null
+                }
+
+                byRating && (byRatings + 1) * 2 > active.size -> {
+                    null
+                }
+
+                else -> {
+                    if (byRating) byRatings++
+                    Quarantine(version.id, version.definedIn, epochMillis, self, found)
+                }
+            }
+        }
+    }
+
+    private fun predecessor(
+        version: ModelVersion,
+        byId: Map<ModelVersionId, ModelVersion>,
+    ): ModelVersion? = version.rollOut?.let { byId[ModelVersionId(version.model, it.predecessor)] }
+}
--- a/decision/src/main/kotlin/dev/almondhaven/decision/rollout/QuarantineSet.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/rollout/QuarantineSet.kt
@@ -18,8 +18,10 @@
     public val isEmpty: Boolean get() = bySubject.isEmpty()
 
     /** Whether [version] as it is now defined is in quarantine. */
-    public fun holds(version: ModelVersion): Boolean =
-        bySubject.isNotEmpty() && QuarantineSubject(version.id, version.definedIn) in bySubject
+    public fun holds(version: ModelVersion): Boolean = bySubject.isNotEmpty() && find(version) != null
+
+    /** The quarantine of [version] as it is now defined, or null. */
+    public fun find(version: ModelVersion): Quarantine? = bySubject[QuarantineSubject(version.id, version.definedIn)]
 
     /** With [quarantine] as well. */
     public fun plus(quarantine: Quarantine): QuarantineSet {
@@ -56,8 +58,7 @@
         return listOf(allowed.minWith(compareBy({ evidenceAgainst(it) }, { it.id.toString() })))
     }
 
-    private fun evidenceAgainst(version: ModelVersion): Double =
-        bySubject[QuarantineSubject(version.id, version.definedIn)]?.evidence?.logEvidence ?: 0.0
+    private fun evidenceAgainst(version: ModelVersion): Double = find(version)?.evidence?.logEvidence ?: 0.0
 
     override fun equals(other: Any?): Boolean = other is QuarantineSet && bySubject == other.bySubject
 
--- a/decision/src/main/kotlin/dev/almondhaven/decision/rollout/RollOutStage.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/rollout/RollOutStage.kt
@@ -37,6 +37,26 @@
         return position(version.id, key) < share(rollOut, epochMillis)
     }
 
+    /**
+     * The part of [versions] that the session or request with [key] chooses from: of a version under roll-out and its
+     * predecessor, only the one whose turn it is. A version whose predecessor isn't among [versions] stays.
+     */
+    public fun narrow(
+        versions: List<ModelVersion>,
+        key: String,
+        epochMillis: Long,
+    ): List<ModelVersion> {
+        if (versions.none { it.rollOut != null }) return versions
+        val left = HashSet<ModelVersionId>()
+        for (version in versions) {
+            val rollOut = version.rollOut ?: continue
+            val predecessor = ModelVersionId(version.model, rollOut.predecessor)
+            if (versions.none { it.id == predecessor }) continue
+            left += if (takes(version, key, epochMillis)) predecessor else version.id
+        }
+        return versions.filterNot { it.id in left }.ifEmpty { versions }
+    }
+
     /** The place of [key] in the roll-out of [version], evenly spread from 0 until 1. */
     public fun position(
         version: ModelVersionId,
--- a/decision/src/main/kotlin/dev/almondhaven/decision/rollout/VersionTrial.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/rollout/VersionTrial.kt
@@ -7,6 +7,7 @@
 import dev.almondhaven.decision.choice.EvidenceTotals
 import dev.almondhaven.decision.choice.Tally
 import dev.almondhaven.model.TaskClass
+import dev.almondhaven.model.VersionId
 import kotlin.math.ln
 
 /**
@@ -34,16 +35,23 @@
 public class VersionTrial(
     private val limits: TrialLimits,
 ) {
-    /** The strongest evidence that [version] is bad beyond its limits, or null as long as there isn't enough. */
+    /**
+     * The strongest evidence that [version] is bad beyond its limits, or null as long as there isn't enough. Ratings of
+     * [distrustedBuckets] don't count against its own past; those of a predecessor suffer from the same service.
+     */
     public fun verdict(
         version: ModelVersion,
         predecessor: ModelVersion?,
         evidence: EvidenceTotals,
         epochMillis: Long,
+        distrustedBuckets: Set<Long> = emptySet(),
     ): TrialEvidence? {
-        val findings =
-            rollOutFindings(version, predecessor, evidence, epochMillis) +
-                inServiceFindings(version, evidence, epochMillis)
+        val now = EvidencePool.bucketOf(epochMillis)
+        val inService =
+            inServiceFindings(version, evidence, now).filterNot { finding ->
+                finding.measure == TrialMeasure.RATINGS && distrustedBuckets.any { it > now - WINDOW_BUCKETS }
+            }
+        val findings = rollOutFindings(version, predecessor, evidence, now) + inService
         return findings.filter { it.logEvidence > it.threshold }.maxByOrNull { it.logEvidence - it.threshold }
     }
 
@@ -51,11 +59,11 @@
         version: ModelVersion,
         predecessor: ModelVersion?,
         evidence: EvidenceTotals,
-        epochMillis: Long,
+        now: Long,
     ): List<TrialEvidence> {
         val rollOut = version.rollOut ?: return emptyList()
         predecessor ?: return emptyList()
-        val during = EvidencePool.bucketOf(rollOut.startedAt)..EvidencePool.bucketOf(epochMillis)
+        val during = EvidencePool.bucketOf(rollOut.startedAt)..now
         val classes = evidence.taskClasses(version.id, version.definedIn)
         val threshold = threshold(limits.rollOutFalseAlarm, classes.size)
         return classes.flatMap { taskClass ->
@@ -68,9 +76,8 @@
     private fun inServiceFindings(
         version: ModelVersion,
         evidence: EvidenceTotals,
-        epochMillis: Long,
+        now: Long,
     ): List<TrialEvidence> {
-        val now = EvidencePool.bucketOf(epochMillis)
         val window = (now - WINDOW_BUCKETS + 1)..now
         val past = (window.first - PAST_BUCKETS) until window.first
         val rollOut = version.rollOut ?: IN_SERVICE_MARGINS
@@ -189,7 +196,7 @@
 
         private val IN_SERVICE_MARGINS =
             RollOut(
-                predecessor = dev.almondhaven.model.VersionId("none"),
+                predecessor = VersionId("none"),
                 steps = emptyList(),
             )
     }
