--- a/model/src/main/kotlin/dev/almondhaven/model/LogEvent.kt
+++ b/model/src/main/kotlin/dev/almondhaven/model/LogEvent.kt
@@ -28,6 +28,10 @@
     CONFIGURATION_STALE_READ(2002, Level.WARN, "A read returned an older generation than held; it was ignored."),
     PLATFORM_READ_FAILED(2003, Level.WARN, "The platform's object API did not answer a read."),
 
+    VERSION_QUARANTINED(3001, Level.WARN, "A version turned out bad and gets no new sessions; the evidence is given."),
+    RATINGS_UNAVAILABLE(3002, Level.WARN, "The rating service does not answer; choices go on with what is known."),
+    RATINGS_DISTRUSTED(3003, Level.WARN, "Most versions' ratings fell at once; those ratings are left out."),
+
     ENDPOINT_ANSWER_BAD(4001, Level.WARN, "An endpoint's answer failed or could not be read."),
     ;
 
--- a/model/src/main/kotlin/dev/almondhaven/model/ResultCode.kt
+++ b/model/src/main/kotlin/dev/almondhaven/model/ResultCode.kt
@@ -25,6 +25,9 @@
     NOT_CONFIGURED(2001, 503, "This router holds no configuration yet."),
 
     NO_MODEL_ALLOWED(3001, 403, "No model is in service that the organisation may use."),
+    TARGET_MISSED(3002, 503, "No allowed plan reaches the organisation's quality target, and its rule is to refuse."),
+    VERSION_QUARANTINED(3003, 503, "The version went into quarantine before the request was sent."),
+    PROMPT_TOO_LONG(3004, 413, "The prompt is longer than every allowed version accepts."),
 
     NO_ENDPOINT(4001, 503, "No endpoint in service can take the request."),
     ENDPOINT_UNREACHABLE(4002, 502, "No connection to the endpoint could be opened."),
--- /dev/null
+++ b/router/src/main/kotlin/dev/almondhaven/router/ModelChoice.kt
@@ -0,0 +1,63 @@
+package dev.almondhaven.router
+
+import dev.almondhaven.decision.choice.ExplorationBudget
+import dev.almondhaven.decision.choice.ExplorationLimits
+import dev.almondhaven.decision.rollout.TrialLimits
+import dev.almondhaven.model.NanoClock
+import dev.almondhaven.model.RouterId
+import dev.almondhaven.router.controller.CatalogueHolder
+import dev.almondhaven.router.controller.ChoiceController
+import dev.almondhaven.router.controller.RatingPoller
+import dev.almondhaven.router.filter.CascadeRunner
+import dev.almondhaven.router.filter.ModelChoiceFilter
+import dev.almondhaven.router.filter.RequestPlanner
+import dev.almondhaven.router.filter.StepRunner
+import dev.almondhaven.router.filter.VersionLoad
+import dev.almondhaven.router.filter.VersionPolicy
+import dev.almondhaven.router.peer.EvidenceTopic
+import dev.almondhaven.router.peer.GossipTopic
+import dev.almondhaven.router.peer.QuarantineTopic
+import dev.almondhaven.router.settings.ChoiceSettings
+import org.apache.commons.rng.simple.RandomSource
+import java.time.InstantSource
+
+/** The parts of the router that choose models and versions, put together. */
+internal class ModelChoice(
+    private val holder: CatalogueHolder,
+    self: RouterId,
+    private val settings: ChoiceSettings,
+    private val clock: NanoClock,
+    private val routers: () -> Int,
+) : AutoCloseable {
+    private val controller = ChoiceController(self, holder, ::limits)
+    private val poller =
+        settings.ratingsAddress?.let { RatingPoller(it, settings.ratingsInterval, controller::rate) }
+
+    /** What a request may run on; asked again before every dispatch. */
+    val policy: VersionPolicy = VersionPolicy(holder) { controller.snapshot.quarantines }
+
+    /** What routers pool. */
+    val topics: List<GossipTopic> = listOf(QuarantineTopic(controller), EvidenceTopic(controller))
+
+    /** The filter that chooses. */
+    fun filter(): ModelChoiceFilter {
+        val load = VersionLoad(holder, routers)
+        val limits = ExplorationLimits(settings.exploredRequestShare, settings.exploredCostShare)
+        val exploration = ExplorationBudget(limits, RandomSource.XO_RO_SHI_RO_128_PP.create())
+        val planner = RequestPlanner(policy, controller, exploration, load, clock, InstantSource.system())
+        val steps = StepRunner(controller, load, clock)
+        return ModelChoiceFilter(planner, steps, CascadeRunner(steps, clock))
+    }
+
+    fun start() {
+        controller.start()
+        poller?.start()
+    }
+
+    override fun close() {
+        poller?.close()
+        controller.close()
+    }
+
+    private fun limits(): TrialLimits = TrialLimits(rollOutFalseAlarm = settings.rollOutFalseAlarm, routers = routers())
+}
--- a/router/src/main/kotlin/dev/almondhaven/router/Router.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/Router.kt
@@ -9,6 +9,7 @@
 import com.linecorp.armeria.server.healthcheck.HealthChecker
 import dev.almondhaven.model.LogEvent
 import dev.almondhaven.model.NanoClock
+import dev.almondhaven.model.RouterId
 import dev.almondhaven.platform.HttpObjectStore
 import dev.almondhaven.platform.ObjectStore
 import dev.almondhaven.router.controller.CatalogueHolder
@@ -18,7 +19,6 @@
 import dev.almondhaven.router.filter.AdmissionFilter
 import dev.almondhaven.router.filter.EndpointChoiceFilter
 import dev.almondhaven.router.filter.IdentifyFilter
-import dev.almondhaven.router.filter.ModelChoiceFilter
 import dev.almondhaven.router.filter.ModelListFilter
 import dev.almondhaven.router.filter.ParseFilter
 import dev.almondhaven.router.filter.RequestHandler
@@ -27,6 +27,7 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import java.net.InetSocketAddress
 import java.net.URI
+import java.util.UUID
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -51,6 +52,8 @@
     private val workers = EndpointClients.newWorkers(Runtime.getRuntime().availableProcessors())
     private val clients = EndpointClients(workers)
     private val watcher = ConfigurationWatcher(objects, holder, settings.platform.watchWait)
+    private val choice =
+        ModelChoice(holder, RouterId("${UUID.randomUUID()}"), settings.choice, clock, routers = { 1 })
     private val server = buildServer()
 
     @Volatile
@@ -65,6 +68,7 @@
                 .toDouble()
         }
         watcher.start()
+        choice.start()
         server.start().join()
         LogEvent.ROUTER_STARTED.log(logger) { "port=$port domain=${settings.process.failureDomain}" }
     }
@@ -76,10 +80,10 @@
                 ParseFilter(holder),
                 ModelListFilter(holder),
                 AdmissionFilter(settings.requests.inFlight),
-                ModelChoiceFilter(holder),
+                choice.filter(),
                 EndpointChoiceFilter(holder, settings.process.failureDomain),
             ),
-            Dispatcher(holder, clients, clock),
+            Dispatcher(choice.policy, clients, clock),
         )
 
     private fun buildServer(): Server =
@@ -111,6 +115,7 @@
         draining = true
         server.stop().join()
         watcher.close()
+        choice.close()
         clients.close()
         workers.shutdownGracefully(0, 0, TimeUnit.SECONDS)
         LogEvent.ROUTER_STOPPED.log(logger)
--- /dev/null
+++ b/router/src/main/kotlin/dev/almondhaven/router/controller/ChoiceSnapshot.kt
@@ -0,0 +1,64 @@
+package dev.almondhaven.router.controller
+
+import dev.almondhaven.catalogue.CatalogueIndex
+import dev.almondhaven.catalogue.ModelVersion
+import dev.almondhaven.decision.choice.EvidenceSubject
+import dev.almondhaven.decision.choice.EvidenceTotals
+import dev.almondhaven.decision.choice.TaskClassifier
+import dev.almondhaven.decision.choice.VersionEstimate
+import dev.almondhaven.decision.rollout.QuarantineSet
+import dev.almondhaven.model.TaskClass
+
+/**
+ * What requests read about versions; immutable.
+ *
+ * @property quarantines versions that get no new sessions.
+ * @property taskClasses classes that a caller may declare.
+ */
+internal class ChoiceSnapshot(
+    val quarantines: QuarantineSet,
+    val taskClasses: Set<TaskClass>,
+    private val estimates: Map<EvidenceSubject, VersionEstimate>,
+) {
+    /** The estimate for [version] in [taskClass]; the prior alone when its definition is newer than the snapshot. */
+    fun estimate(
+        version: ModelVersion,
+        taskClass: TaskClass,
+    ): VersionEstimate =
+        estimates[EvidenceSubject(version.id, version.definedIn, taskClass)]
+            ?: VersionEstimate.of(version, taskClass, emptyMap(), epochMillis = 0)
+
+    companion object {
+        private val DEFAULT_CLASSES =
+            setOf(TaskClassifier.DRAFTING, TaskClassifier.QUERY, TaskClassifier.TAGGING)
+
+        /** Nothing is known. */
+        val EMPTY: ChoiceSnapshot = ChoiceSnapshot(QuarantineSet.EMPTY, DEFAULT_CLASSES, emptyMap())
+
+        /** The snapshot of [evidence], without the ratings of [distrustedBuckets]. */
+        fun of(
+            index: CatalogueIndex,
+            evidence: EvidenceTotals,
+            quarantines: QuarantineSet,
+            distrustedBuckets: Set<Long>,
+            epochMillis: Long,
+        ): ChoiceSnapshot {
+            val classes = taskClasses(index)
+            val estimates = HashMap<EvidenceSubject, VersionEstimate>()
+            for (version in index.catalogue.models) {
+                for (taskClass in classes) {
+                    val subject = EvidenceSubject(version.id, version.definedIn, taskClass)
+                    val buckets = evidence.buckets(subject)
+                    val trusted = if (distrustedBuckets.isEmpty()) buckets else buckets - distrustedBuckets
+                    estimates[subject] = VersionEstimate.of(version, taskClass, trusted, epochMillis)
+                }
+            }
+            return ChoiceSnapshot(quarantines, classes, estimates)
+        }
+
+        private fun taskClasses(index: CatalogueIndex): Set<TaskClass> =
+            DEFAULT_CLASSES +
+                index.catalogue.models.flatMap { it.quality.classes.keys } +
+                index.catalogue.organisations.flatMap { it.quality.classes.keys }
+    }
+}
--- a/router/src/main/kotlin/dev/almondhaven/router/endpoint/Dispatcher.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/endpoint/Dispatcher.kt
@@ -19,11 +19,11 @@
 import dev.almondhaven.model.Outcome
 import dev.almondhaven.model.Refusal
 import dev.almondhaven.model.ResultCode
-import dev.almondhaven.router.controller.CatalogueHolder
 import dev.almondhaven.router.filter.Answer
 import dev.almondhaven.router.filter.Call
 import dev.almondhaven.router.filter.Exchange
 import dev.almondhaven.router.filter.RequestHandler
+import dev.almondhaven.router.filter.VersionPolicy
 import dev.almondhaven.router.filter.completed
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.serialization.SerializationException
@@ -38,10 +38,10 @@
 
 /**
  * The end of the filter chain: sends the request to the chosen endpoint and reads its answer. Immediately before the
- * dispatch it checks once more, against the newest catalogue, that the version is allowed.
+ * dispatch it checks once more, against the newest catalogue and quarantines, that the version is allowed.
  */
 internal class Dispatcher(
-    private val holder: CatalogueHolder,
+    private val policy: VersionPolicy,
     private val clients: EndpointClients,
     private val clock: NanoClock,
 ) : RequestHandler {
@@ -50,10 +50,7 @@
         if (!remaining.isPositive()) {
             return refused(exchange, ResultCode.DEADLINE_EXCEEDED, "the deadline passed before the dispatch")
         }
-        val version = exchange.version
-        if (version != null && !holder.index.mayRun(exchange.organisation.id, version.id)) {
-            return refused(exchange, ResultCode.UNKNOWN_MODEL, "${version.id} is no longer allowed")
-        }
+        policy.objection(exchange)?.let { return Answer.Refused(it).completed() }
         val options = RequestOptions.builder().responseTimeoutMillis(remaining.inWholeMilliseconds).build()
         val response = clients.of(exchange.endpoint).execute(requestFor(exchange), options)
         exchange.journal.recordDispatch()
--- a/router/src/main/kotlin/dev/almondhaven/router/filter/ModelChoiceFilter.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/filter/ModelChoiceFilter.kt
@@ -1,35 +1,60 @@
 package dev.almondhaven.router.filter
 
-import dev.almondhaven.catalogue.ModelVersion
-import dev.almondhaven.model.Refusal
+import dev.almondhaven.model.Outcome
 import dev.almondhaven.model.ResultCode
-import dev.almondhaven.router.controller.CatalogueHolder
 import java.util.concurrent.CompletableFuture
 
-/** Chooses the cheapest allowed version whose expected quality reaches the organisation's target. */
+/**
+ * Chooses the plan for a request to a model and runs it: one version, or a cascade of two. When the version is withdrawn
+ * or goes into quarantine between choice and dispatch, it chooses once more.
+ */
 internal class ModelChoiceFilter(
-    private val holder: CatalogueHolder,
+    private val planner: RequestPlanner,
+    private val steps: StepRunner,
+    private val cascades: CascadeRunner,
 ) : RequestFilter {
     override fun handle(
         exchange: Exchange,
         next: RequestHandler,
     ): CompletableFuture<Answer> {
         val call = exchange.call as? Call.Model ?: return next.handle(exchange)
-        val candidates = holder.index.allowedVersions(exchange.organisation.id).filter { call.selector.covers(it) }
-        if (candidates.isEmpty()) {
-            val refusal = Refusal.notRun(ResultCode.NO_MODEL_ALLOWED, "no version in service for ${call.selector}")
-            return Answer.Refused(refusal).completed()
+        return choose(exchange, call, next).thenCompose { answer ->
+            if (overtaken(answer)) choose(exchange, call, next) else answer.completed()
         }
-        val target = exchange.organisation.quality.default
-        val adequate = candidates.filter { it.quality.default >= target }
-        val chosen = adequate.minByOrNull { it.price.output } ?: candidates.maxBy { it.quality.default }
-        return next.handle(exchange.with(chosen))
     }
 
-    private fun ModelSelector.covers(version: ModelVersion): Boolean =
-        when (this) {
-            ModelSelector.Any -> true
-            is ModelSelector.Model -> version.model == model
-            is ModelSelector.Version -> version.id == id
+    private fun choose(
+        exchange: Exchange,
+        call: Call.Model,
+        next: RequestHandler,
+    ): CompletableFuture<Answer> =
+        planner.plan(exchange, call).fold(
+            { Answer.Refused(it).completed() },
+            { run(exchange, it, next) },
+        )
+
+    private fun run(
+        exchange: Exchange,
+        planned: PlannedRequest,
+        next: RequestHandler,
+    ): CompletableFuture<Answer> {
+        val plan = planned.plan
+        if (!plan.meetsTarget && !plan.explores) {
+            exchange.journal.addAnswerHeader(QualityHeader.NAME, QualityHeader.BELOW_TARGET)
         }
+        return when {
+            plan.escalation != null -> cascades.run(exchange, planned, plan.escalation!!, next)
+            plan.explores -> cascades.explore(exchange, plan.first, planned.taskClass, next)
+            else -> steps.run(exchange, plan.first, planned.taskClass, next)
+        }
+    }
+
+    private fun overtaken(answer: Answer): Boolean {
+        val refusal = (answer as? Answer.Refused)?.refusal ?: return false
+        return refusal.outcome == Outcome.NOT_RUN && refusal.code in OVERTAKEN
+    }
+
+    private companion object {
+        val OVERTAKEN = setOf(ResultCode.VERSION_QUARANTINED, ResultCode.UNKNOWN_MODEL)
+    }
 }
--- a/router/src/main/kotlin/dev/almondhaven/router/filter/RequestJournal.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/filter/RequestJournal.kt
@@ -13,6 +13,13 @@
     public val completionTokens: Long,
 )
 
+/** A step of a request that ran, but whose answer the caller doesn't get; it is billed all the same. */
+public data class DiscardedStep(
+    public val version: ModelVersionId?,
+    public val endpoint: EndpointId?,
+    public val usage: Usage?,
+)
+
 /** A header that a filter adds to the answer; [name] is in lower case. */
 public data class AnswerHeader(
     public val name: String,
@@ -94,6 +101,30 @@
     public var answerHeaders: List<AnswerHeader> = emptyList()
         private set
 
+    /** Earlier steps of a cascade whose answers the caller doesn't get. */
+    @Volatile
+    public var discardedSteps: List<DiscardedStep> = emptyList()
+        private set
+
+    /** Notes that the caller won't get the answer recorded last. */
+    @Synchronized
+    public fun discardStep() {
+        discardedSteps = discardedSteps + DiscardedStep(servedVersion, servedEndpoint, usage)
+        servedVersion = null
+        servedEndpoint = null
+        usage = null
+    }
+
+    /** Notes that the caller gets the answer discarded last after all, since the step after it gave none. */
+    @Synchronized
+    public fun restoreStep() {
+        val restored = discardedSteps.last()
+        discardedSteps = discardedSteps.dropLast(1)
+        servedVersion = restored.version
+        servedEndpoint = restored.endpoint
+        usage = restored.usage
+    }
+
     private val ended = CompletableFuture<Unit>()
 
     /** Runs [action] once the request has ended: its answer is written whole, or failed, or the caller has left. */
--- /dev/null
+++ b/router/src/main/kotlin/dev/almondhaven/router/peer/QuarantineTopic.kt
@@ -0,0 +1,35 @@
+package dev.almondhaven.router.peer
+
+import dev.almondhaven.decision.rollout.Quarantine
+import dev.almondhaven.decision.rollout.QuarantineSet
+import dev.almondhaven.model.RouterId
+import dev.almondhaven.router.controller.ChoiceController
+import kotlinx.serialization.builtins.ListSerializer
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonElement
+
+/** Tells every peer all quarantines that this router knows of: they are few, and each round doubles who knows. */
+internal class QuarantineTopic(
+    private val controller: ChoiceController,
+) : GossipTopic {
+    override val name: String = "quarantine"
+
+    override fun outgoing(budgetBytes: Int): JsonElement? {
+        val newest =
+            controller.snapshot.quarantines.all
+                .takeLast(minOf(MAXIMUM, budgetBytes / LARGEST_BYTES))
+        return if (newest.isEmpty()) null else json.encodeToJsonElement(serializer, newest)
+    }
+
+    override fun incoming(
+        from: RouterId,
+        payload: JsonElement,
+    ): Unit = controller.merge(QuarantineSet.of(json.decodeFromJsonElement(serializer, payload)))
+
+    private companion object {
+        const val MAXIMUM = 16
+        const val LARGEST_BYTES = 450
+        val json = Json { ignoreUnknownKeys = true }
+        val serializer = ListSerializer(Quarantine.serializer())
+    }
+}
--- a/router/src/main/kotlin/dev/almondhaven/router/settings/RouterSettings.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/settings/RouterSettings.kt
@@ -66,6 +66,7 @@
     public val process: ProcessSettings,
     public val platform: PlatformSettings,
     public val requests: RequestSettings = RequestSettings(),
+    public val choice: ChoiceSettings = ChoiceSettings(),
 ) {
     /** Everything that is wrong with the values themselves. */
     internal fun problems(): List<Problem> =
@@ -79,6 +80,7 @@
             }
             if (requests.bodyBytes <= 0) add(Problem("requests.bodyBytes", "${requests.bodyBytes}", "1 or more"))
             if (requests.inFlight <= 0) add(Problem("requests.inFlight", "${requests.inFlight}", "1 or more"))
+            addAll(choice.problems())
             addAll(positive("platform.callTimeout", platform.callTimeout))
             addAll(positive("platform.watchWait", platform.watchWait))
             addAll(positive("requests.requestTimeout", requests.requestTimeout))
