--- a/model/src/main/kotlin/dev/almondhaven/catalogue/CatalogueFold.kt
+++ b/model/src/main/kotlin/dev/almondhaven/catalogue/CatalogueFold.kt
@@ -14,21 +14,30 @@
 public fun Catalogue.accept(entry: ConfigurationEntry): Either<List<Problem>, Catalogue> =
     when (entry) {
         is ConfigurationEntry.NotePublished -> accept(entry.note)
-        is ConfigurationEntry.DomainTakenOut -> withDomain(entry.domain, outOfService = true)
-        is ConfigurationEntry.DomainReturned -> withDomain(entry.domain, outOfService = false)
+        is ConfigurationEntry.DomainTakenOut -> withDomain(entry.domain) { it.copy(outOfService = true) }
+        is ConfigurationEntry.DomainReturned -> withDomain(entry.domain) { it.returned(entry.at) }
     }
 
 private fun Catalogue.withDomain(
     id: FailureDomainId,
-    outOfService: Boolean,
+    change: (FailureDomain) -> FailureDomain,
 ): Either<List<Problem>, Catalogue> {
     if (failureDomains.none { it.id == id }) {
         return listOf(Problem("domain", id.value, "one of ${failureDomains.joinToString { it.id.value }}")).left()
     }
-    val changed = failureDomains.map { if (it.id == id) it.copy(outOfService = outOfService) else it }
+    val changed = failureDomains.map { if (it.id == id) change(it) else it }
     return copy(generation = generation.next(), failureDomains = changed).right()
 }
 
+private fun FailureDomain.returned(at: Long): FailureDomain =
+    if (outOfService) copy(outOfService = false, returnedAt = at) else this
+
+/** A note describes a domain; only taking out and returning decide whether it is in service. */
+private fun Catalogue.keepingService(changed: FailureDomain): FailureDomain {
+    val previous = failureDomains.firstOrNull { it.id == changed.id } ?: return changed
+    return changed.copy(outOfService = previous.outOfService, returnedAt = previous.returnedAt)
+}
+
 private fun Catalogue.accept(note: ReleaseNote): Either<List<Problem>, Catalogue> {
     val problems = mutableListOf<Problem>()
     val domainChanges = note.failureDomains
@@ -37,7 +46,9 @@
             generation = generation.next(),
             failureDomains =
                 failureDomains.fold(
-                    Changes("failureDomains", domainChanges.added, domainChanges.changed, domainChanges.withdrawn),
+                    domainChanges.run {
+                        Changes("failureDomains", added, changed.map { keepingService(it) }, withdrawn)
+                    },
                     FailureDomain::id,
                     problems,
                 ),
--- a/model/src/main/kotlin/dev/almondhaven/catalogue/CatalogueIndex.kt
+++ b/model/src/main/kotlin/dev/almondhaven/catalogue/CatalogueIndex.kt
@@ -66,13 +66,18 @@
     /** Whether [domain] takes new work. A domain that the notes don't declare takes work. */
     public fun inService(domain: FailureDomainId): Boolean = domainsById[domain]?.outOfService != true
 
-    /** Endpoints meant to serve [id], in domains that take new work. */
+    /** Whether the endpoint [id] takes new work: it is in the catalogue, isn't leaving, and its domain is in service. */
+    public fun takesNewWork(id: EndpointId): Boolean = endpointsById[id]?.let { takesNewWork(it) } ?: false
+
+    /** Endpoints meant to serve [id] that take new work. */
     public fun endpoints(id: ModelVersionId): List<Endpoint> =
-        endpointsByVersion[id].orEmpty().filter { inService(it.failureDomain) }
+        endpointsByVersion[id].orEmpty().filter { takesNewWork(it) }
 
-    /** Endpoints of [service], in domains that take new work. */
+    /** Endpoints of [service] that take new work. */
     public fun endpoints(service: ServiceId): List<Endpoint> =
-        endpointsByService[service].orEmpty().filter { inService(it.failureDomain) }
+        endpointsByService[service].orEmpty().filter { takesNewWork(it) }
+
+    private fun takesNewWork(endpoint: Endpoint): Boolean = !endpoint.leaving && inService(endpoint.failureDomain)
 
     public companion object {
         /** Builds the tables for [catalogue]. */
--- a/model/src/main/kotlin/dev/almondhaven/catalogue/ConfigurationEntry.kt
+++ b/model/src/main/kotlin/dev/almondhaven/catalogue/ConfigurationEntry.kt
@@ -33,12 +33,17 @@
         public val domain: FailureDomainId,
     ) : ConfigurationEntry
 
-    /** A failure domain was brought back. */
+    /**
+     * A failure domain was brought back.
+     *
+     * @property at epoch milliseconds from which its load ramps up; publishing fills it in.
+     */
     @Serializable
     @SerialName("domain_returned")
     public data class DomainReturned(
         override val id: NoteId,
         override val reason: String,
         public val domain: FailureDomainId,
+        public val at: Long = 0,
     ) : ConfigurationEntry
 }
--- a/model/src/main/kotlin/dev/almondhaven/catalogue/Endpoint.kt
+++ b/model/src/main/kotlin/dev/almondhaven/catalogue/Endpoint.kt
@@ -15,6 +15,7 @@
  * @property service plain service that the endpoint serves; null for an engine.
  * @property slots requests that the endpoint runs at once when warm.
  * @property honoursFencing whether the engine refuses orders that carry an old fencing number.
+ * @property leaving whether the endpoint is about to go: it gets no new work, and running work goes on.
  */
 @Serializable
 public data class Endpoint(
@@ -25,6 +26,7 @@
     public val service: ServiceId? = null,
     public val slots: Int = DEFAULT_SLOTS,
     public val honoursFencing: Boolean = true,
+    public val leaving: Boolean = false,
 ) {
     public companion object {
         public const val DEFAULT_SLOTS: Int = 16
@@ -35,10 +37,12 @@
  * A failure domain.
  *
  * @property outOfService whether operators have taken it out.
+ * @property returnedAt epoch milliseconds at which operators brought it back; 0 when it never was out.
  */
 @Serializable
 public data class FailureDomain(
     public val id: FailureDomainId,
     public val region: RegionId,
     public val outOfService: Boolean = false,
+    public val returnedAt: Long = 0,
 )
--- a/router/src/main/kotlin/dev/almondhaven/router/endpoint/Dispatcher.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/endpoint/Dispatcher.kt
@@ -54,6 +54,9 @@
         if (version != null && !holder.index.mayRun(exchange.organisation.id, version.id)) {
             return refused(exchange, ResultCode.UNKNOWN_MODEL, "${version.id} is no longer allowed")
         }
+        if (!holder.index.takesNewWork(exchange.endpoint.id)) {
+            return refused(exchange, ResultCode.NO_ENDPOINT, "endpoint ${exchange.endpoint.id} takes no new work")
+        }
         val options = RequestOptions.builder().responseTimeoutMillis(remaining.inWholeMilliseconds).build()
         val response = clients.of(exchange.endpoint).execute(requestFor(exchange), options)
         exchange.journal.recordDispatch()
--- a/router/src/main/kotlin/dev/almondhaven/router/filter/Exchange.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/filter/Exchange.kt
@@ -6,6 +6,7 @@
 import dev.almondhaven.catalogue.Endpoint
 import dev.almondhaven.catalogue.ModelVersion
 import dev.almondhaven.catalogue.Organisation
+import dev.almondhaven.model.ModelVersionId
 import dev.almondhaven.model.RequestId
 import io.netty.channel.EventLoop
 
@@ -16,6 +17,7 @@
  *
  * @property arrivedAt monotonic nanoseconds.
  * @property deadline monotonic nanoseconds after which the answer is worthless.
+ * @property pinnedVersion the only version that the request's session may run on; null when the choice is free.
  */
 public data class Exchange(
     public val requestId: RequestId,
@@ -25,6 +27,7 @@
     public val deadline: Long,
     public val eventLoop: EventLoop,
     public val journal: RequestJournal = RequestJournal(),
+    public val pinnedVersion: ModelVersionId? = null,
     private val identifiedOrganisation: Organisation? = null,
     private val parsedCall: Call? = null,
     private val chosenVersion: ModelVersion? = null,
@@ -53,5 +56,7 @@
 
     public fun with(version: ModelVersion): Exchange = copy(chosenVersion = version)
 
+    public fun pinnedTo(version: ModelVersionId): Exchange = copy(pinnedVersion = version)
+
     public fun with(endpoint: Endpoint): Exchange = copy(chosenEndpoint = endpoint)
 }
--- a/router/src/main/kotlin/dev/almondhaven/router/filter/ModelChoiceFilter.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/filter/ModelChoiceFilter.kt
@@ -15,7 +15,7 @@
         next: RequestHandler,
     ): CompletableFuture<Answer> {
         val call = exchange.call as? Call.Model ?: return next.handle(exchange)
-        val candidates = holder.index.allowedVersions(exchange.organisation.id).filter { call.selector.covers(it) }
+        val candidates = holder.index.allowedVersions(exchange.organisation.id).filter { covers(exchange, call, it) }
         if (candidates.isEmpty()) {
             val refusal = Refusal.notRun(ResultCode.NO_MODEL_ALLOWED, "no version in service for ${call.selector}")
             return Answer.Refused(refusal).completed()
@@ -26,6 +26,12 @@
         return next.handle(exchange.with(chosen))
     }
 
+    private fun covers(
+        exchange: Exchange,
+        call: Call.Model,
+        version: ModelVersion,
+    ): Boolean = exchange.pinnedVersion?.let { it == version.id } ?: call.selector.covers(version)
+
     private fun ModelSelector.covers(version: ModelVersion): Boolean =
         when (this) {
             ModelSelector.Any -> true
