--- a/router/src/main/kotlin/dev/almondhaven/router/Router.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/Router.kt
@@ -83,7 +83,7 @@
                 choice.filter(),
                 EndpointChoiceFilter(holder, settings.process.failureDomain),
             ),
-            Dispatcher(choice.policy, clients, clock),
+            Dispatcher(holder, choice.policy, clients, clock),
         )
 
     private fun buildServer(): Server =
--- a/router/src/main/kotlin/dev/almondhaven/router/endpoint/Dispatcher.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/endpoint/Dispatcher.kt
@@ -19,6 +19,7 @@
 import dev.almondhaven.model.Outcome
 import dev.almondhaven.model.Refusal
 import dev.almondhaven.model.ResultCode
+import dev.almondhaven.router.controller.CatalogueHolder
 import dev.almondhaven.router.filter.Answer
 import dev.almondhaven.router.filter.Call
 import dev.almondhaven.router.filter.Exchange
@@ -41,6 +42,7 @@
  * dispatch it checks once more, against the newest catalogue and quarantines, that the version is allowed.
  */
 internal class Dispatcher(
+    private val holder: CatalogueHolder,
     private val policy: VersionPolicy,
     private val clients: EndpointClients,
     private val clock: NanoClock,
@@ -51,6 +53,9 @@
             return refused(exchange, ResultCode.DEADLINE_EXCEEDED, "the deadline passed before the dispatch")
         }
         policy.objection(exchange)?.let { return Answer.Refused(it).completed() }
+        if (!holder.index.takesNewWork(exchange.endpoint.id)) {
+            return refused(exchange, ResultCode.NO_ENDPOINT, "endpoint ${exchange.endpoint.id} takes no new work")
+        }
         val options = RequestOptions.builder().responseTimeoutMillis(remaining.inWholeMilliseconds).build()
         val response = clients.of(exchange.endpoint).execute(requestFor(exchange), options)
         exchange.journal.recordDispatch()
