--- a/model/src/test/kotlin/dev/almondhaven/catalogue/CatalogueFoldTest.kt
+++ b/model/src/test/kotlin/dev/almondhaven/catalogue/CatalogueFoldTest.kt
@@ -32,7 +32,11 @@
         @Test
         fun `adds what it names at the next generation`() {
             expectThat(Catalogue.EMPTY.publish(note).getOrNull()).isEqualTo(
-                Catalogue(Generation(1), failureDomains = listOf(west), models = listOf(version.copy(definedIn = Generation(1)))),
+                Catalogue(
+                    Generation(1),
+                    failureDomains = listOf(west),
+                    models = listOf(version.copy(definedIn = Generation(1))),
+                ),
             )
         }
 
