--- a/experiments/src/main/kotlin/dev/almondhaven/experiments/MeasureMain.kt
+++ b/experiments/src/main/kotlin/dev/almondhaven/experiments/MeasureMain.kt
@@ -10,6 +10,7 @@
 import com.github.ajalt.clikt.parameters.types.file
 import java.io.File
 import kotlin.system.exitProcess
+import com.github.ajalt.clikt.parameters.arguments.default as defaultArgument
 
 /** Entry point of `bin/measure`. */
 public fun main(arguments: Array<String>) {
@@ -18,7 +19,7 @@
 }
 
 private class MeasureCommand : CliktCommand(name = "measure") {
-    private val name by argument(help = "Name of the experiment, or 'all'.").default(ALL)
+    private val name by argument(help = "Name of the experiment, or 'all'.").defaultArgument(ALL)
     private val output by option(help = "Directory for the reports.").file(canBeFile = false).default(DEFAULT_OUTPUT)
 
     override fun help(context: Context): String =
--- a/experiments/src/main/kotlin/dev/almondhaven/experiments/overhead/ClosedLoopLoad.kt
+++ b/experiments/src/main/kotlin/dev/almondhaven/experiments/overhead/ClosedLoopLoad.kt
@@ -28,42 +28,42 @@
     }
 }
 
-/** Sends a fixed number of requests with a fixed number in flight, each worker waiting for its answer. */
+/** Sends requests for a fixed time with a fixed number in flight, each worker waiting for its answer. */
 public class ClosedLoopLoad(
     private val client: WebClient,
     private val request: () -> HttpRequest,
 ) {
-    /** Runs [requests] requests with [concurrency] in flight. */
+    /** Keeps [concurrency] requests in flight for [time]. */
     public fun run(
-        requests: Int,
+        time: Duration,
         concurrency: Int,
     ): LoadResult {
         val latency = ConcurrentHistogram(HIGHEST_NANOS, DIGITS)
-        val remaining = AtomicInteger(requests)
         val failures = AtomicInteger()
         val started = System.nanoTime()
-        val workers = List(concurrency) { worker(remaining, latency, failures) }
+        val end = started + time.inWholeNanoseconds
+        val workers = List(concurrency) { worker(end, latency, failures) }
         CompletableFuture.allOf(*workers.toTypedArray()).join()
         return LoadResult(latency, (System.nanoTime() - started).nanoseconds, failures.get())
     }
 
     private fun worker(
-        remaining: AtomicInteger,
+        end: Long,
         latency: Histogram,
         failures: AtomicInteger,
     ): CompletableFuture<Void> {
         val done = CompletableFuture<Void>()
-        next(remaining, latency, failures, done)
+        next(end, latency, failures, done)
         return done
     }
 
     private fun next(
-        remaining: AtomicInteger,
+        end: Long,
         latency: Histogram,
         failures: AtomicInteger,
         done: CompletableFuture<Void>,
     ) {
-        if (remaining.getAndDecrement() <= 0) {
+        if (System.nanoTime() - end >= 0) {
             done.complete(null)
             return
         }
@@ -71,7 +71,7 @@
         client.execute(request()).aggregate().handle { response, cause ->
             latency.recordValue(System.nanoTime() - started)
             if (failed(response, cause)) failures.incrementAndGet()
-            next(remaining, latency, failures, done)
+            next(end, latency, failures, done)
         }
     }
 
--- a/experiments/src/main/kotlin/dev/almondhaven/experiments/overhead/OverheadExperiment.kt
+++ b/experiments/src/main/kotlin/dev/almondhaven/experiments/overhead/OverheadExperiment.kt
@@ -3,6 +3,7 @@
 import com.google.common.hash.Hashing
 import com.linecorp.armeria.client.ClientFactory
 import com.linecorp.armeria.client.WebClient
+import com.linecorp.armeria.common.HttpData
 import com.linecorp.armeria.common.HttpMethod
 import com.linecorp.armeria.common.HttpRequest
 import com.linecorp.armeria.common.MediaType
@@ -43,6 +44,7 @@
 import dev.almondhaven.standins.EngineStandIn
 import dev.almondhaven.standins.StandInServer
 import java.util.concurrent.TimeUnit
+import kotlin.time.Duration.Companion.seconds
 
 /** What the router adds to a short request, against calling the stand-in engine directly in the same run. */
 public class OverheadExperiment : Experiment {
@@ -87,8 +89,8 @@
         ClientFactory.builder().build().use { factory ->
             val client = WebClient.builder("http://$address").factory(factory).build()
             val load = ClosedLoopLoad(client) { shortRequest() }
-            load.run(WARM_UP_REQUESTS, concurrency)
-            return load.run(REQUESTS, concurrency)
+            load.run(WARM_UP, concurrency)
+            return load.run(MEASURED, concurrency)
         }
     }
 
@@ -125,7 +127,7 @@
                 .contentType(MediaType.JSON)
                 .set("authorization", "Bearer $TOKEN")
                 .build()
-        return HttpRequest.of(headers, BODY)
+        return HttpRequest.of(headers, HttpData.ofUtf8(BODY))
     }
 
     private fun awaitReady(router: Router) {
@@ -179,13 +181,13 @@
         const val TOKEN = "measure-token"
         const val TOKENS = 4
         const val BODY = """{"model":"auto","max_tokens":4,"messages":[{"role":"user","content":"Which slate?"}]}"""
-        const val WARM_UP_REQUESTS = 40_000
-        const val REQUESTS = 60_000
         const val MEDIAN = 50.0
         const val TAIL = 99.0
         const val DIGITS = 3
         const val NANOS_PER_MILLI = 1e6
         val CONCURRENCY = listOf(1, 8, 32, 128)
+        val WARM_UP = 2.seconds
+        val MEASURED = 4.seconds
         val DOMAIN = FailureDomainId("west")
         val COLUMNS =
             listOf(
