Lay the peer protocol: signed HTTP JSON, handlers by path, gossip topics, a network wired into the router

Cause: evidence pooling, the session directory, claims and fleet limits need one way to speak between routers. Conclusion: others can build on it; the view still knows this router only.

--- a/model/src/main/kotlin/dev/almondhaven/model/LogEvent.kt
+++ b/model/src/main/kotlin/dev/almondhaven/model/LogEvent.kt
@@ -28,6 +28,14 @@
     CONFIGURATION_STALE_READ(2002, Level.WARN, "A read returned an older generation than held; it was ignored."),
     PLATFORM_READ_FAILED(2003, Level.WARN, "The platform's object API did not answer a read."),
 
+    PEER_MESSAGE_REFUSED(2201, Level.WARN, "A peer message had a wrong signature, path or method."),
+    PEER_MESSAGE_BAD(2202, Level.WARN, "A peer message could not be read."),
+    MEMBER_JOINED(2203, Level.INFO, "A router came into this router's view of the fleet."),
+    MEMBER_LEFT(2204, Level.INFO, "A router left this router's view of the fleet."),
+    CONFIGURATION_STALE(2205, Level.WARN, "Nobody within reach has confirmed the configuration with the platform."),
+    CONFIGURATION_CONFIRMED(2206, Level.INFO, "The configuration is confirmed by the platform again."),
+    CONFIGURATION_DIVERGENT(2207, Level.ERROR, "Another catalogue has the generation in force; it was ignored."),
+
     ENDPOINT_ANSWER_BAD(4001, Level.WARN, "An endpoint's answer failed or could not be read."),
     ;
 
--- a/router/src/main/kotlin/dev/almondhaven/router/Router.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/Router.kt
@@ -7,6 +7,7 @@
 import com.linecorp.armeria.server.Server
 import com.linecorp.armeria.server.healthcheck.HealthCheckService
 import com.linecorp.armeria.server.healthcheck.HealthChecker
+import dev.almondhaven.decision.membership.Member
 import dev.almondhaven.model.LogEvent
 import dev.almondhaven.model.NanoClock
 import dev.almondhaven.platform.HttpObjectStore
@@ -23,9 +24,10 @@
 import dev.almondhaven.router.filter.ParseFilter
 import dev.almondhaven.router.filter.RequestHandler
 import dev.almondhaven.router.filter.filterChain
+import dev.almondhaven.router.peer.PeerNetwork
 import dev.almondhaven.router.settings.RouterSettings
+import dev.almondhaven.router.settings.socketAddress
 import io.github.oshai.kotlinlogging.KotlinLogging
-import java.net.InetSocketAddress
 import java.net.URI
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
@@ -50,6 +52,7 @@
     private val holder = CatalogueHolder()
     private val workers = EndpointClients.newWorkers(Runtime.getRuntime().availableProcessors())
     private val clients = EndpointClients(workers)
+    private val peers = PeerNetwork.open(settings.peers, settings.process.failureDomain)
     private val watcher = ConfigurationWatcher(objects, holder, settings.platform.watchWait)
     private val server = buildServer()
 
@@ -59,6 +62,9 @@
     /** Port for callers. */
     public val port: Int get() = server.activeLocalPort()
 
+    /** This router as its peers know it. */
+    public val self: Member get() = peers.self
+
     private fun start() {
         metrics.gauge("almondhaven_configuration_generation", "Generation in force on this router.") {
             holder.index.generation.value
@@ -100,17 +106,13 @@
     private fun metricsResponse(): HttpResponse =
         HttpResponse.of(HttpStatus.OK, MediaType.PLAIN_TEXT_UTF_8, metrics.text())
 
-    private fun socketAddress(hostAndPort: String): InetSocketAddress {
-        val host = hostAndPort.substringBeforeLast(':').trim('[', ']')
-        return InetSocketAddress(host, hostAndPort.substringAfterLast(':').toInt())
-    }
-
     /** Fails readiness, lets running requests finish within the drain deadline, and stops. */
     override fun close() {
         LogEvent.ROUTER_STOPPING.log(logger)
         draining = true
         server.stop().join()
         watcher.close()
+        peers.close()
         clients.close()
         workers.shutdownGracefully(0, 0, TimeUnit.SECONDS)
         LogEvent.ROUTER_STOPPED.log(logger)
--- /dev/null
+++ b/router/src/main/kotlin/dev/almondhaven/router/peer/GossipTopics.kt
@@ -0,0 +1,52 @@
+package dev.almondhaven.router.peer
+
+import dev.almondhaven.model.LogEvent
+import dev.almondhaven.model.RouterId
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.serialization.json.JsonElement
+import java.util.concurrent.CopyOnWriteArrayList
+
+private val logger = KotlinLogging.logger {}
+
+/** The topics that ride on the membership's messages. They share each message's bytes in turns. */
+public class GossipTopics {
+    private val topics = CopyOnWriteArrayList<GossipTopic>()
+    private var turn = 0
+
+    /** Adds [topic] to the messages. */
+    public fun register(topic: GossipTopic) {
+        check(topics.none { it.name == topic.name }) { "two gossip topics named ${topic.name}" }
+        topics += topic
+    }
+
+    /** Sections for one message, at most [budgetBytes] together; a section that doesn't fit is left out. */
+    internal fun outgoing(budgetBytes: Int): Map<String, JsonElement> {
+        if (topics.isEmpty()) return emptyMap()
+        var remaining = budgetBytes
+        val first = turn++ % topics.size
+        val ordered = topics.drop(first) + topics.take(first)
+        return buildMap {
+            ordered.forEach { topic ->
+                val section = topic.outgoing(remaining) ?: return@forEach
+                val bytes = section.toString().length + topic.name.length
+                if (bytes > remaining) return@forEach
+                remaining -= bytes
+                put(topic.name, section)
+            }
+        }
+    }
+
+    internal fun incoming(
+        from: RouterId,
+        sections: Map<String, JsonElement>,
+    ) {
+        topics.forEach { topic ->
+            val section = sections[topic.name] ?: return@forEach
+            try {
+                topic.incoming(from, section)
+            } catch (exception: IllegalArgumentException) {
+                LogEvent.PEER_MESSAGE_BAD.log(logger, exception) { "from=$from topic=${topic.name}" }
+            }
+        }
+    }
+}
--- a/router/src/main/kotlin/dev/almondhaven/router/settings/RouterSettings.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/settings/RouterSettings.kt
@@ -66,6 +66,7 @@
     public val process: ProcessSettings,
     public val platform: PlatformSettings,
     public val requests: RequestSettings = RequestSettings(),
+    public val peers: PeerSettings? = null,
 ) {
     /** Everything that is wrong with the values themselves. */
     internal fun problems(): List<Problem> =
@@ -82,15 +83,16 @@
             addAll(positive("platform.callTimeout", platform.callTimeout))
             addAll(positive("platform.watchWait", platform.watchWait))
             addAll(positive("requests.requestTimeout", requests.requestTimeout))
+            peers?.let { addAll(it.problems()) }
         }
 
-    private fun positive(
-        path: String,
-        value: Duration,
-    ): List<Problem> = if (value.isPositive()) emptyList() else listOf(Problem(path, "$value", "more than 0s"))
-
     public companion object {
-        private val HOST_AND_PORT = Regex("""(\d{1,3}\.){3}\d{1,3}:\d{1,5}|\[[0-9a-fA-F:]+]:\d{1,5}""")
+        internal val HOST_AND_PORT = Regex("""(\d{1,3}\.){3}\d{1,3}:\d{1,5}|\[[0-9a-fA-F:]+]:\d{1,5}""")
+
+        internal fun positive(
+            path: String,
+            value: Duration,
+        ): List<Problem> = if (value.isPositive()) emptyList() else listOf(Problem(path, "$value", "more than 0s"))
 
         /** Parses and checks settings; the left side lists every problem. */
         public fun parse(text: String): Either<List<Problem>, RouterSettings> =
