--- a/model/src/main/kotlin/dev/almondhaven/model/LogEvent.kt
+++ b/model/src/main/kotlin/dev/almondhaven/model/LogEvent.kt
@@ -28,6 +28,13 @@
     CONFIGURATION_STALE_READ(2002, Level.WARN, "A read returned an older generation than held; it was ignored."),
     PLATFORM_READ_FAILED(2003, Level.WARN, "The platform's object API did not answer a read."),
 
+    PEER_MESSAGE_REFUSED(2201, Level.WARN, "A peer message had a wrong signature, path or method."),
+    PEER_MESSAGE_BAD(2202, Level.WARN, "A peer message could not be read."),
+    MEMBER_JOINED(2203, Level.INFO, "A router came into this router's view of the fleet."),
+    MEMBER_LEFT(2204, Level.INFO, "A router left this router's view of the fleet."),
+    CONFIGURATION_STALE(2205, Level.WARN, "Nobody within reach has confirmed the configuration with the platform."),
+    CONFIGURATION_CONFIRMED(2206, Level.INFO, "The configuration is confirmed by the platform again."),
+    CONFIGURATION_DIVERGENT(2207, Level.ERROR, "Another catalogue has the generation in force; it was ignored."),
     VERSION_QUARANTINED(3001, Level.WARN, "A version turned out bad and gets no new sessions; the evidence is given."),
     RATINGS_UNAVAILABLE(3002, Level.WARN, "The rating service does not answer; choices go on with what is known."),
     RATINGS_DISTRUSTED(3003, Level.WARN, "Most versions' ratings fell at once; those ratings are left out."),
--- a/router/src/main/kotlin/dev/almondhaven/router/Router.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/Router.kt
@@ -7,9 +7,9 @@
 import com.linecorp.armeria.server.Server
 import com.linecorp.armeria.server.healthcheck.HealthCheckService
 import com.linecorp.armeria.server.healthcheck.HealthChecker
+import dev.almondhaven.decision.membership.Member
 import dev.almondhaven.model.LogEvent
 import dev.almondhaven.model.NanoClock
-import dev.almondhaven.model.RouterId
 import dev.almondhaven.platform.HttpObjectStore
 import dev.almondhaven.platform.ObjectStore
 import dev.almondhaven.router.controller.CatalogueHolder
@@ -23,11 +23,11 @@
 import dev.almondhaven.router.filter.ParseFilter
 import dev.almondhaven.router.filter.RequestHandler
 import dev.almondhaven.router.filter.filterChain
+import dev.almondhaven.router.peer.PeerNetwork
 import dev.almondhaven.router.settings.RouterSettings
+import dev.almondhaven.router.settings.socketAddress
 import io.github.oshai.kotlinlogging.KotlinLogging
-import java.net.InetSocketAddress
 import java.net.URI
-import java.util.UUID
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -51,9 +51,10 @@
     private val holder = CatalogueHolder()
     private val workers = EndpointClients.newWorkers(Runtime.getRuntime().availableProcessors())
     private val clients = EndpointClients(workers)
+    private val peers = PeerNetwork.open(settings.peers, settings.process.failureDomain)
     private val watcher = ConfigurationWatcher(objects, holder, settings.platform.watchWait)
     private val choice =
-        ModelChoice(holder, RouterId("${UUID.randomUUID()}"), settings.choice, clock, routers = { 1 })
+        ModelChoice(holder, peers.self.id, settings.choice, clock, routers = { peers.view.members.size })
     private val server = buildServer()
 
     @Volatile
@@ -62,12 +63,16 @@
     /** Port for callers. */
     public val port: Int get() = server.activeLocalPort()
 
+    /** This router as its peers know it. */
+    public val self: Member get() = peers.self
+
     private fun start() {
         metrics.gauge("almondhaven_configuration_generation", "Generation in force on this router.") {
             holder.index.generation.value
                 .toDouble()
         }
         watcher.start()
+        choice.topics.forEach { peers.topics.register(it) }
         choice.start()
         server.start().join()
         LogEvent.ROUTER_STARTED.log(logger) { "port=$port domain=${settings.process.failureDomain}" }
@@ -104,17 +109,13 @@
     private fun metricsResponse(): HttpResponse =
         HttpResponse.of(HttpStatus.OK, MediaType.PLAIN_TEXT_UTF_8, metrics.text())
 
-    private fun socketAddress(hostAndPort: String): InetSocketAddress {
-        val host = hostAndPort.substringBeforeLast(':').trim('[', ']')
-        return InetSocketAddress(host, hostAndPort.substringAfterLast(':').toInt())
-    }
-
     /** Fails readiness, lets running requests finish within the drain deadline, and stops. */
     override fun close() {
         LogEvent.ROUTER_STOPPING.log(logger)
         draining = true
         server.stop().join()
         watcher.close()
+        peers.close()
         choice.close()
         clients.close()
         workers.shutdownGracefully(0, 0, TimeUnit.SECONDS)
