--- a/model/src/main/kotlin/dev/almondhaven/model/LogEvent.kt
+++ b/model/src/main/kotlin/dev/almondhaven/model/LogEvent.kt
@@ -29,6 +29,11 @@
     PLATFORM_READ_FAILED(2003, Level.WARN, "The platform's object API did not answer a read."),
 
     ENDPOINT_ANSWER_BAD(4001, Level.WARN, "An endpoint's answer failed or could not be read."),
+
+    CLAIM_WRITE_UNSETTLED(5001, Level.WARN, "A read or write of claims failed; it is tried again."),
+    CLAIM_OPERATION_DROPPED(5002, Level.WARN, "Too many claim operations wait; one was not taken."),
+    CLAIM_OUTCOME_UNKNOWN(5003, Level.WARN, "A non-idempotent call got an error whose outcome is unknown."),
+    CLAIM_SHARDS_DELETED(5004, Level.INFO, "Claims from before the retention window were deleted."),
     ;
 
     /** Logs this event to [logger] with [detail], which ought to be `name=value` pairs. */
--- a/model/src/main/kotlin/dev/almondhaven/model/ResultCode.kt
+++ b/model/src/main/kotlin/dev/almondhaven/model/ResultCode.kt
@@ -36,6 +36,17 @@
 
     INTERNAL_ERROR(5001, 500, "The router met an unexpected error."),
 
+    CLAIM_KEY_MISSING(5010, 400, "A non-idempotent call needs an Idempotency-Key header of 1 to 255 characters."),
+    CLAIM_KEY_EXPIRED(5011, 409, "The idempotency key is older than the retention window; whether it ran is unknown."),
+    CLAIM_KEY_AHEAD(5012, 400, "The idempotency key's time lies in the future."),
+    CLAIM_KEY_REUSED(5013, 422, "The idempotency key belongs to another request of the same organisation and service."),
+    CLAIM_UNSETTLED(5014, 503, "The claim could not be written to the platform within the deadline."),
+    CLAIM_STORE_FULL(5015, 503, "The claims' store has no room for another key of this kind."),
+    CLAIM_IN_PROGRESS(5016, 409, "An earlier attempt under the same key has not ended within the deadline."),
+    CLAIM_HOLDER_GONE(5017, 409, "The router that held an earlier attempt is gone; whether it ran is unknown."),
+    CLAIM_ANSWER_NOT_KEPT(5018, 409, "An earlier attempt under the same key has ended; its answer was not kept."),
+    CLAIM_BOUND_PASSED(5019, 503, "The time within which the claim may be dispatched passed."),
+
     INVALID_SETTINGS(6001, 0, "The settings file is wrong; every problem is listed."),
     INVALID_NOTE(6002, 0, "The release note is wrong; every problem is listed."),
     PUBLISH_CONFLICT(6003, 0, "Another configuration was accepted first; the differences are listed."),
