Claim non-idempotent calls before their dispatch

Cause: an order that reached two routers, or was repeated, could run twice; a refusal before the claim was read said not_run. Change: ClaimFilter behind admission, claims written by duty threads, dispatch gate in the dispatcher, outcome of refusals under a key held to the strict rule. Conclusion: works on one router; peers are asked once a transport is wired.

--- a/decision/src/main/kotlin/dev/almondhaven/decision/claim/ClaimPlacement.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/claim/ClaimPlacement.kt
@@ -27,7 +27,10 @@
     public data object Expired : ClaimPlacement
 
     /** The key's time lies in the future by more than clocks may differ. */
-    public data object Ahead : ClaimPlacement
+    public data class Ahead(
+        /** Whether no router whose clock is within the tolerance can have accepted the key. */
+        public val certain: Boolean,
+    ) : ClaimPlacement
 
     public companion object {
         /** How long a claim is remembered. */
@@ -66,7 +69,7 @@
             val time = timeOrNull(key.text) ?: return In(ClaimShard("$UNDATED_PREFIX${slot.mod(UNDATED_SHARDS)}"))
             return when {
                 time < nowMillis - RETENTION.inWholeMilliseconds -> Expired
-                time > nowMillis + CLOCK_TOLERANCE.inWholeMilliseconds -> Ahead
+                time > nowMillis + CLOCK_TOLERANCE.inWholeMilliseconds -> ahead(time - nowMillis)
                 else -> In(datedShard(time, slot.mod(SHARDS_PER_PERIOD)))
             }
         }
@@ -93,6 +96,8 @@
             return lower.replace("-", "").take(TIME_DIGITS).toLong(HEXADECIMAL)
         }
 
+        private fun ahead(millis: Long) = Ahead(certain = millis > 2 * CLOCK_TOLERANCE.inWholeMilliseconds)
+
         private fun datedShard(
             time: Long,
             slot: Int,
--- a/router/src/main/kotlin/dev/almondhaven/router/Router.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/Router.kt
@@ -11,6 +11,8 @@
 import dev.almondhaven.model.NanoClock
 import dev.almondhaven.platform.HttpObjectStore
 import dev.almondhaven.platform.ObjectStore
+import dev.almondhaven.router.claim.Claims
+import dev.almondhaven.router.claim.RepeatOutcomeFilter
 import dev.almondhaven.router.controller.CatalogueHolder
 import dev.almondhaven.router.controller.ConfigurationWatcher
 import dev.almondhaven.router.endpoint.Dispatcher
@@ -51,6 +53,7 @@
     private val workers = EndpointClients.newWorkers(Runtime.getRuntime().availableProcessors())
     private val clients = EndpointClients(workers)
     private val watcher = ConfigurationWatcher(objects, holder, settings.platform.watchWait)
+    private val claims = Claims(settings, objects, clock)
     private val server = buildServer()
 
     @Volatile
@@ -72,14 +75,16 @@
     private fun chain(): RequestHandler =
         filterChain(
             listOf(
+                RepeatOutcomeFilter,
                 IdentifyFilter(holder),
                 ParseFilter(holder),
                 ModelListFilter(holder),
                 AdmissionFilter(settings.requests.inFlight),
+                claims.filter,
                 ModelChoiceFilter(holder),
                 EndpointChoiceFilter(holder, settings.process.failureDomain),
             ),
-            Dispatcher(holder, clients, clock),
+            Dispatcher(holder, clients, clock, settings.claims.runLimit),
         )
 
     private fun buildServer(): Server =
@@ -110,6 +115,7 @@
         LogEvent.ROUTER_STOPPING.log(logger)
         draining = true
         server.stop().join()
+        claims.close()
         watcher.close()
         clients.close()
         workers.shutdownGracefully(0, 0, TimeUnit.SECONDS)
--- a/router/src/main/kotlin/dev/almondhaven/router/endpoint/Dispatcher.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/endpoint/Dispatcher.kt
@@ -30,8 +30,11 @@
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonPrimitive
+import java.net.ConnectException
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.CompletionException
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.nanoseconds
 
 private val logger = KotlinLogging.logger {}
@@ -44,6 +47,7 @@
     private val holder: CatalogueHolder,
     private val clients: EndpointClients,
     private val clock: NanoClock,
+    private val nonIdempotentLimit: Duration = DEFAULT_RUN_LIMIT,
 ) : RequestHandler {
     override fun handle(exchange: Exchange): CompletableFuture<Answer> {
         val remaining = (exchange.deadline - clock.nanos()).nanoseconds
@@ -54,7 +58,13 @@
         if (version != null && !holder.index.mayRun(exchange.organisation.id, version.id)) {
             return refused(exchange, ResultCode.UNKNOWN_MODEL, "${version.id} is no longer allowed")
         }
-        val options = RequestOptions.builder().responseTimeoutMillis(remaining.inWholeMilliseconds).build()
+        val gate = exchange.dispatchGate
+        // A non-idempotent call runs to its end, so that its outcome can be recorded, also when its caller has left.
+        val limit = if (gate == null) remaining else maxOf(remaining, nonIdempotentLimit)
+        val options = RequestOptions.builder().responseTimeoutMillis(limit.inWholeMilliseconds).build()
+        if (gate != null && !gate.tryPass()) {
+            return refused(exchange, ResultCode.CLAIM_BOUND_PASSED, "the claim may no longer be dispatched")
+        }
         val response = clients.of(exchange.endpoint).execute(requestFor(exchange), options)
         exchange.journal.recordDispatch()
         val call = exchange.call
@@ -166,6 +176,11 @@
         val cause = if (failure is CompletionException) failure.cause ?: failure else failure
         return when (cause) {
             is UnprocessedRequestException -> {
+                val gate = exchange.dispatchGate
+                if (gate != null && cause.cause !is ConnectException) {
+                    return bad(exchange, ResultCode.ENDPOINT_FAILED, "the connection failed: ${cause.cause?.message}")
+                }
+                gate?.notSent()
                 val refusal = Refusal(ResultCode.ENDPOINT_UNREACHABLE, "${cause.cause?.message}", Outcome.NOT_RUN)
                 Answer.Refused(refusal)
             }
@@ -210,6 +225,7 @@
         }
 
     private companion object {
+        val DEFAULT_RUN_LIMIT = 5.minutes
         const val REQUEST_ID = "x-request-id"
         const val ORGANISATION = "x-organisation"
         const val IDEMPOTENCY_KEY = "idempotency-key"
--- a/router/src/main/kotlin/dev/almondhaven/router/filter/Exchange.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/filter/Exchange.kt
@@ -29,6 +29,7 @@
     private val parsedCall: Call? = null,
     private val chosenVersion: ModelVersion? = null,
     private val chosenEndpoint: Endpoint? = null,
+    private val gate: DispatchGate? = null,
 ) {
     public val method: HttpMethod get() = headers.method()
 
@@ -47,6 +48,9 @@
     /** The endpoint; set by the endpoint choice. */
     public val endpoint: Endpoint get() = checkNotNull(chosenEndpoint) { "no endpoint chosen: $requestId" }
 
+    /** Decides about the dispatch of a non-idempotent call; null for calls that may be repeated. */
+    public val dispatchGate: DispatchGate? get() = gate
+
     public fun with(organisation: Organisation): Exchange = copy(identifiedOrganisation = organisation)
 
     public fun with(call: Call): Exchange = copy(parsedCall = call)
@@ -54,4 +58,6 @@
     public fun with(version: ModelVersion): Exchange = copy(chosenVersion = version)
 
     public fun with(endpoint: Endpoint): Exchange = copy(chosenEndpoint = endpoint)
+
+    public fun with(dispatchGate: DispatchGate): Exchange = copy(gate = dispatchGate)
 }
--- a/router/src/main/kotlin/dev/almondhaven/router/filter/RequestJournal.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/filter/RequestJournal.kt
@@ -41,6 +41,16 @@
     public var usage: Usage? = null
         private set
 
+    /** Whether it is settled that no earlier request under the same idempotency key was dispatched. */
+    @Volatile
+    public var firstUseProven: Boolean = false
+        private set
+
+    /** Notes that no earlier request under the same idempotency key was dispatched. */
+    public fun recordFirstUse() {
+        firstUseProven = true
+    }
+
     /** Notes that bytes of the request are about to be sent to an endpoint. */
     public fun recordDispatch() {
         dispatched = true
--- a/router/src/main/kotlin/dev/almondhaven/router/settings/RouterSettings.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/settings/RouterSettings.kt
@@ -66,6 +66,7 @@
     public val process: ProcessSettings,
     public val platform: PlatformSettings,
     public val requests: RequestSettings = RequestSettings(),
+    public val claims: ClaimSettings = ClaimSettings(),
 ) {
     /** Everything that is wrong with the values themselves. */
     internal fun problems(): List<Problem> =
@@ -81,6 +82,10 @@
             if (requests.inFlight <= 0) add(Problem("requests.inFlight", "${requests.inFlight}", "1 or more"))
             addAll(positive("platform.callTimeout", platform.callTimeout))
             addAll(positive("platform.watchWait", platform.watchWait))
+            addAll(positive("claims.writeInterval", claims.writeInterval))
+            addAll(positive("claims.dispatchBound", claims.dispatchBound))
+            addAll(positive("claims.runLimit", claims.runLimit))
+            addAll(positive("claims.relayTimeout", claims.relayTimeout))
             addAll(positive("requests.requestTimeout", requests.requestTimeout))
         }
 
