--- a/decision/src/main/kotlin/dev/almondhaven/decision/claim/ClaimDocument.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/claim/ClaimDocument.kt
@@ -51,11 +51,17 @@
         operation: ClaimOperation.Claim,
     ): Boolean =
         when (held.state) {
-            ClaimState.VOID -> held.attempt != operation.attempt
-            ClaimState.CLAIMED -> held.attempt in operation.voided
+            ClaimState.VOID -> arrivedLater(held, operation)
+            ClaimState.CLAIMED -> held.attempt in operation.voided && arrivedLater(held, operation)
             ClaimState.FINISHED -> false
         }
 
+    /** The caller of a void attempt was told `not_run`, which also speaks for the requests that came before it. */
+    private fun arrivedLater(
+        held: ClaimRecord,
+        operation: ClaimOperation.Claim,
+    ): Boolean = operation.at > held.claimedAt + 2 * ARRIVAL_TOLERANCE_MILLIS
+
     private fun ClaimOperation.Claim.record() = ClaimRecord(body, attempt, at)
 
     private fun finish(
@@ -107,6 +113,9 @@
         /** Shards beyond this size keep no further answers. */
         public const val ANSWERS_LIMIT_BYTES: Int = 500_000
 
+        /** How far routers' clocks may differ for the order of arrival of two requests under one key to be known. */
+        public const val ARRIVAL_TOLERANCE_MILLIS: Long = 500
+
         /** Longest Base64 text of an answer that is kept. */
         public const val ANSWER_LIMIT_BYTES: Int = 1_024
         private const val FINGERPRINT_CHARACTERS = 11
--- a/model/src/main/kotlin/dev/almondhaven/model/ResultCode.kt
+++ b/model/src/main/kotlin/dev/almondhaven/model/ResultCode.kt
@@ -46,6 +46,7 @@
     CLAIM_HOLDER_GONE(5017, 409, "The router that held an earlier attempt is gone; whether it ran is unknown."),
     CLAIM_ANSWER_NOT_KEPT(5018, 409, "An earlier attempt under the same key has ended; its answer was not kept."),
     CLAIM_BOUND_PASSED(5019, 503, "The time within which the claim may be dispatched passed."),
+    CLAIM_VOIDED(5020, 503, "A call under the same key was refused at about the same time; it may be sent again."),
 
     INVALID_SETTINGS(6001, 0, "The settings file is wrong; every problem is listed."),
     INVALID_NOTE(6002, 0, "The release note is wrong; every problem is listed."),
--- a/router/src/main/kotlin/dev/almondhaven/router/claim/ClaimFilter.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/claim/ClaimFilter.kt
@@ -6,6 +6,7 @@
 import dev.almondhaven.decision.claim.AttemptLedger
 import dev.almondhaven.decision.claim.ClaimKey
 import dev.almondhaven.decision.claim.ClaimPlacement
+import dev.almondhaven.decision.claim.ClaimRequest
 import dev.almondhaven.decision.claim.ClaimShard
 import dev.almondhaven.decision.claim.Digest
 import dev.almondhaven.model.NanoClock
@@ -37,14 +38,19 @@
         if (call == null || call.idempotent) return next.handle(exchange)
         return place(exchange, call).fold(
             { Answer.Refused(it).completed() },
-            { claim -> ClaimedCall(claim, exchange, next, peers, ledger, clock).start() },
+            { (shard, request) ->
+                ClaimedCall(shard, request, dispatchBy(exchange), exchange, next, peers, ledger, clock).start()
+            },
         )
     }
 
+    private fun dispatchBy(exchange: Exchange): Long =
+        minOf(exchange.deadline, exchange.arrivedAt + dispatchBound.inWholeNanoseconds)
+
     private fun place(
         exchange: Exchange,
         call: Call.Service,
-    ): Either<Refusal, ClaimRequest> {
+    ): Either<Refusal, PlacedRequest> {
         val text = exchange.headers.get(IDEMPOTENCY_KEY).orEmpty()
         if (text.length !in KEY_LENGTH) {
             return Refusal.notRun(ResultCode.CLAIM_KEY_MISSING, "got ${text.length} characters").left()
@@ -52,7 +58,7 @@
         val key = ClaimKey(exchange.organisation.id, call.service, text)
         return when (val placement = ClaimPlacement.of(key, wallMillis())) {
             is ClaimPlacement.In -> {
-                request(exchange, call, key, placement.shard).right()
+                PlacedRequest(placement.shard, request(exchange, call, key)).right()
             }
 
             ClaimPlacement.Expired -> {
@@ -72,29 +78,19 @@
         exchange: Exchange,
         call: Call.Service,
         key: ClaimKey,
-        shard: ClaimShard,
     ): ClaimRequest {
         val line = "${exchange.method} ${call.path}\n".toByteArray()
-        val bound = minOf(exchange.deadline, exchange.arrivedAt + dispatchBound.inWholeNanoseconds)
-        return ClaimRequest(shard, key.digest, Digest.of(line + exchange.body.array()), bound, wallMillis())
+        val body = Digest.of(line + exchange.body.array())
+        return ClaimRequest(key.digest, body, wallMillis(), exchange.journal.firstUseProven)
     }
 
+    private data class PlacedRequest(
+        val shard: ClaimShard,
+        val request: ClaimRequest,
+    )
+
     private companion object {
         const val IDEMPOTENCY_KEY = "idempotency-key"
         val KEY_LENGTH = 1..255
     }
 }
-
-/**
- * A call that is to be claimed.
- *
- * @property dispatchBy monotonic nanoseconds.
- * @property at epoch milliseconds.
- */
-internal data class ClaimRequest(
-    val shard: ClaimShard,
-    val key: Digest,
-    val body: Digest,
-    val dispatchBy: Long,
-    val at: Long,
-)
