--- a/router/src/main/kotlin/dev/almondhaven/router/claim/ClaimPeers.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/claim/ClaimPeers.kt
@@ -11,13 +11,15 @@
 import dev.almondhaven.decision.membership.Member
 import dev.almondhaven.decision.membership.RendezvousHash
 import dev.almondhaven.model.NanoClock
-import dev.almondhaven.router.peer.PeerHandler
+import dev.almondhaven.peer.PeerProtocol
+import dev.almondhaven.router.peer.PeerHandlers
 import dev.almondhaven.router.peer.PeerTransport
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.Serializable
-import kotlinx.serialization.json.Json
 import java.util.concurrent.CompletableFuture
+import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicLong
 import kotlin.time.Duration
 
 /** Asks an attempt's holder for its status. */
@@ -35,13 +37,22 @@
 /** Asks a shard's owner to settle an operation. */
 @Serializable
 internal data class RelayedOperation(
+    val number: Long,
+    val from: Member,
     val shard: ClaimShard,
     val operation: ClaimOperation,
 )
 
-/** The owner's answer to a [RelayedOperation]. */
+/** Says that a message was taken; what comes of it is sent on its own. */
+@Serializable
+internal data class RelayAccepted(
+    val accepted: Boolean = true,
+)
+
+/** What came of the [RelayedOperation] with the same [number]. */
 @Serializable
 internal data class RelayedVerdict(
+    val number: Long,
     val verdict: ClaimVerdict,
 )
 
@@ -51,15 +62,21 @@
  */
 internal class ClaimPeers(
     private val view: () -> FleetView,
-    private val transport: PeerTransport?,
+    private val transport: PeerTransport,
     private val writers: ClaimWriters,
     private val ledger: AttemptLedger,
     private val clock: NanoClock,
     private val relayTimeout: Duration,
 ) {
-    /** The handlers of the peer protocol, by path. */
-    val handlers: Map<String, PeerHandler> =
-        mapOf(ASK_PATH to PeerHandler(::answerQuestion), RELAY_PATH to PeerHandler(::settleRelayed))
+    private val relayed = ConcurrentHashMap<Long, CompletableFuture<ClaimVerdict>>()
+    private val relayNumbers = AtomicLong()
+
+    /** Takes the messages of the other routers. */
+    fun register(handlers: PeerHandlers) {
+        handlers.register(ASK_PATH, ::answerQuestion)
+        handlers.register(RELAY_PATH, ::settleRelayed)
+        handlers.register(VERDICT_PATH, ::takeVerdict)
+    }
 
     /** Settles [operation] by way of the shard's owner, or directly. */
     fun settle(
@@ -67,12 +84,27 @@
         operation: ClaimOperation,
     ): CompletableFuture<ClaimVerdict> {
         val owner = RendezvousHash.choose(shard.value, view().members, 1) { it.id.value }.firstOrNull()
-        if (owner == null || owner.id == view().self.id || transport == null) return writers.submit(shard, operation)
-        val message = RelayedOperation(shard, operation)
-        return post(owner, RELAY_PATH, message, RelayedOperation.serializer(), RelayedVerdict.serializer())
-            .thenCompose { relayed ->
-                relayed?.let { CompletableFuture.completedFuture(it.verdict) } ?: writers.submit(shard, operation)
-            }
+        if (owner == null || owner.id == view().self.id) return writers.submit(shard, operation)
+        return relay(owner, shard, operation).thenCompose { verdict ->
+            verdict?.let { CompletableFuture.completedFuture(it) } ?: writers.submit(shard, operation)
+        }
+    }
+
+    /** The verdict that [owner] sends back, or null if it doesn't come in time. */
+    private fun relay(
+        owner: Member,
+        shard: ClaimShard,
+        operation: ClaimOperation,
+    ): CompletableFuture<ClaimVerdict?> {
+        val number = relayNumbers.incrementAndGet()
+        val verdict = CompletableFuture<ClaimVerdict>()
+        relayed[number] = verdict
+        val message = RelayedOperation(number, view().self, shard, operation)
+        post(owner, RELAY_PATH, message, RelayedOperation.serializer(), RelayAccepted.serializer())
+            .thenAccept { accepted -> if (accepted == null) verdict.cancel(false) }
+        return verdict
+            .orTimeout(relayTimeout.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+            .handle { result, _ -> result.also { relayed.remove(number) } }
     }
 
     /** The status of [attempt] by its holder; null if the holder can't be reached. */
@@ -97,13 +129,11 @@
         message: Q,
         questions: KSerializer<Q>,
         answers: KSerializer<A>,
-    ): CompletableFuture<A?> {
-        val sender = transport ?: return CompletableFuture.completedFuture(null)
-        return sender
+    ): CompletableFuture<A?> =
+        transport
             .post(to, path, json.encodeToString(questions, message))
             .orTimeout(relayTimeout.inWholeMilliseconds, TimeUnit.MILLISECONDS)
             .handle { result, _ -> (result as? Either.Right)?.let { decodeOrNull(answers, it.value) } }
-    }
 
     private fun <A : Any> decodeOrNull(
         answers: KSerializer<A>,
@@ -120,17 +150,24 @@
 
     private fun settleRelayed(body: String): String {
         val message = json.decodeFromString(RelayedOperation.serializer(), body)
-        val verdict =
-            writers.submit(message.shard, message.operation).get(
-                relayTimeout.inWholeMilliseconds,
-                TimeUnit.MILLISECONDS,
-            )
-        return json.encodeToString(RelayedVerdict.serializer(), RelayedVerdict(verdict))
+        writers.submit(message.shard, message.operation).thenAccept { verdict ->
+            val answer = RelayedVerdict(message.number, verdict)
+            post(message.from, VERDICT_PATH, answer, RelayedVerdict.serializer(), RelayAccepted.serializer())
+        }
+        return ACCEPTED
+    }
+
+    private fun takeVerdict(body: String): String {
+        val message = json.decodeFromString(RelayedVerdict.serializer(), body)
+        relayed.remove(message.number)?.complete(message.verdict)
+        return ACCEPTED
     }
 
     private companion object {
         const val ASK_PATH = "claims/ask"
         const val RELAY_PATH = "claims/relay"
-        val json = Json { ignoreUnknownKeys = true }
+        const val VERDICT_PATH = "claims/verdict"
+        val json = PeerProtocol.json
+        val ACCEPTED = json.encodeToString(RelayAccepted.serializer(), RelayAccepted())
     }
 }
--- a/router/src/main/kotlin/dev/almondhaven/router/endpoint/Dispatcher.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/endpoint/Dispatcher.kt
@@ -58,6 +58,9 @@
         if (version != null && !holder.index.mayRun(exchange.organisation.id, version.id)) {
             return refused(exchange, ResultCode.UNKNOWN_MODEL, "${version.id} is no longer allowed")
         }
+        if (!holder.index.takesNewWork(exchange.endpoint.id)) {
+            return refused(exchange, ResultCode.NO_ENDPOINT, "endpoint ${exchange.endpoint.id} takes no new work")
+        }
         val gate = exchange.dispatchGate
         // A non-idempotent call runs to its end, so that its outcome can be recorded, also when its caller has left.
         val limit = if (gate == null) remaining else maxOf(remaining, nonIdempotentLimit)
