--- a/model/src/main/kotlin/dev/almondhaven/model/LogEvent.kt
+++ b/model/src/main/kotlin/dev/almondhaven/model/LogEvent.kt
@@ -40,6 +40,11 @@
     RATINGS_DISTRUSTED(3003, Level.WARN, "Most versions' ratings fell at once; those ratings are left out."),
 
     ENDPOINT_ANSWER_BAD(4001, Level.WARN, "An endpoint's answer failed or could not be read."),
+
+    CLAIM_WRITE_UNSETTLED(5001, Level.WARN, "A read or write of claims failed; it is tried again."),
+    CLAIM_OPERATION_DROPPED(5002, Level.WARN, "Too many claim operations wait; one was not taken."),
+    CLAIM_OUTCOME_UNKNOWN(5003, Level.WARN, "A non-idempotent call got an error whose outcome is unknown."),
+    CLAIM_SHARDS_DELETED(5004, Level.INFO, "Claims from before the retention window were deleted."),
     ;
 
     /** Logs this event to [logger] with [detail], which ought to be `name=value` pairs. */
--- a/router/src/main/kotlin/dev/almondhaven/router/Router.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/Router.kt
@@ -12,6 +12,8 @@
 import dev.almondhaven.model.NanoClock
 import dev.almondhaven.platform.HttpObjectStore
 import dev.almondhaven.platform.ObjectStore
+import dev.almondhaven.router.claim.Claims
+import dev.almondhaven.router.claim.RepeatOutcomeFilter
 import dev.almondhaven.router.controller.CatalogueHolder
 import dev.almondhaven.router.controller.ConfigurationWatcher
 import dev.almondhaven.router.endpoint.Dispatcher
@@ -53,6 +55,7 @@
     private val clients = EndpointClients(workers)
     private val peers = PeerNetwork.open(settings.peers, settings.process.failureDomain)
     private val watcher = ConfigurationWatcher(objects, holder, settings.platform.watchWait)
+    private val claims = Claims(settings.claims, objects, clock, peers)
     private val choice =
         ModelChoice(holder, peers.self.id, settings.choice, clock, routers = { peers.view.members.size })
     private val server = buildServer()
@@ -81,14 +84,16 @@
     private fun chain(): RequestHandler =
         filterChain(
             listOf(
+                RepeatOutcomeFilter,
                 IdentifyFilter(holder),
                 ParseFilter(holder),
                 ModelListFilter(holder),
                 AdmissionFilter(settings.requests.inFlight),
+                claims.filter,
                 choice.filter(),
                 EndpointChoiceFilter(holder, settings.process.failureDomain),
             ),
-            Dispatcher(holder, choice.policy, clients, clock),
+            Dispatcher(holder, choice.policy, clients, clock, settings.claims.runLimit),
         )
 
     private fun buildServer(): Server =
@@ -114,6 +119,7 @@
         LogEvent.ROUTER_STOPPING.log(logger)
         draining = true
         server.stop().join()
+        claims.close()
         watcher.close()
         peers.close()
         choice.close()
--- /dev/null
+++ b/router/src/main/kotlin/dev/almondhaven/router/claim/ClaimedCall.kt
@@ -0,0 +1,160 @@
+package dev.almondhaven.router.claim
+
+import com.linecorp.armeria.common.HttpData
+import com.linecorp.armeria.common.HttpStatus
+import com.linecorp.armeria.common.MediaType
+import dev.almondhaven.decision.claim.AttemptLedger
+import dev.almondhaven.decision.claim.ClaimAction
+import dev.almondhaven.decision.claim.ClaimProcess
+import dev.almondhaven.decision.claim.ClaimRequest
+import dev.almondhaven.decision.claim.ClaimShard
+import dev.almondhaven.decision.claim.DispatchEnd
+import dev.almondhaven.decision.claim.RecordedAnswer
+import dev.almondhaven.model.LogEvent
+import dev.almondhaven.model.NanoClock
+import dev.almondhaven.model.Outcome
+import dev.almondhaven.model.Refusal
+import dev.almondhaven.model.ResultCode
+import dev.almondhaven.router.filter.Answer
+import dev.almondhaven.router.filter.DispatchGate
+import dev.almondhaven.router.filter.Exchange
+import dev.almondhaven.router.filter.RequestHandler
+import io.github.oshai.kotlinlogging.KotlinLogging
+import java.util.Base64
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+private val logger = KotlinLogging.logger {}
+
+/** Carries out what a [ClaimProcess] decides, on the exchange's event loop. */
+internal class ClaimedCall(
+    private val shard: ClaimShard,
+    request: ClaimRequest,
+    dispatchBy: Long,
+    private val exchange: Exchange,
+    private val next: RequestHandler,
+    private val peers: ClaimPeers,
+    private val ledger: AttemptLedger,
+    private val clock: NanoClock,
+) : DispatchGate {
+    private val attempt = ledger.open(dispatchBy)
+    private val process = ClaimProcess(request, attempt, ledger)
+    private val answer = CompletableFuture<Answer>()
+
+    /** The answer, at the exchange's deadline at the latest. */
+    fun start(): CompletableFuture<Answer> {
+        val remaining = (exchange.deadline - clock.nanos()).coerceAtLeast(0)
+        val timer = exchange.eventLoop.schedule({ run(process.onDeadline()) }, remaining, TimeUnit.NANOSECONDS)
+        answer.whenComplete { _, _ -> timer.cancel(false) }
+        run(process.start())
+        return answer
+    }
+
+    override fun tryPass(): Boolean = ledger.tryDispatch(attempt, clock.nanos())
+
+    override fun notSent(): Unit = ledger.notSent(attempt)
+
+    private fun run(actions: List<ClaimAction>): Unit = actions.forEach(::run)
+
+    private fun run(action: ClaimAction) {
+        when (action) {
+            is ClaimAction.Submit -> submit(action)
+            is ClaimAction.Record -> peers.settle(shard, action.operation)
+            ClaimAction.Dispatch -> dispatch()
+            is ClaimAction.Ask -> if (action.later) later { ask(action) } else ask(action)
+            ClaimAction.Pause -> later { run(process.onPauseEnded()) }
+            ClaimAction.Deliver, is ClaimAction.Fail -> error("only at the end of a dispatch: $action")
+            is ClaimAction.Replay -> replay(action.answer)
+            is ClaimAction.Refuse -> refuse(action)
+        }
+    }
+
+    private fun submit(action: ClaimAction.Submit) {
+        peers.settle(shard, action.operation).whenCompleteAsync(
+            { verdict, failure -> run(if (failure == null) process.onVerdict(verdict) else process.onDropped()) },
+            exchange.eventLoop,
+        )
+    }
+
+    private fun ask(action: ClaimAction.Ask) {
+        peers.ask(action.attempt).whenCompleteAsync(
+            { status, _ -> run(process.onStatus(action.attempt, status, peers.holderLives(action.attempt))) },
+            exchange.eventLoop,
+        )
+    }
+
+    private fun dispatch() {
+        exchange.journal.recordFirstUse()
+        next.handle(exchange.with(this)).whenCompleteAsync(
+            { result, failure -> ended(result ?: internalError(failure)) },
+            exchange.eventLoop,
+        )
+    }
+
+    private fun internalError(failure: Throwable): Answer {
+        LogEvent.REQUEST_FAILED_UNEXPECTEDLY.log(logger, failure) { "request=${exchange.requestId}" }
+        return Answer.Refused(Refusal(ResultCode.INTERNAL_ERROR, "unexpected error", Outcome.UNKNOWN))
+    }
+
+    private fun ended(result: Answer) {
+        val refusal = (result as? Answer.Refused)?.refusal
+        val end = if (refusal == null) DispatchEnd.Answered(kept(result)) else DispatchEnd.Failed
+        process.onDispatchEnded(end).forEach { action ->
+            when {
+                action == ClaimAction.Deliver -> answer.complete(result)
+                action is ClaimAction.Fail && refusal != null -> fail(refusal, action.outcome)
+                else -> run(action)
+            }
+        }
+    }
+
+    private fun fail(
+        refusal: Refusal,
+        outcome: Outcome,
+    ) {
+        logUnknown(refusal.code, outcome)
+        answer.complete(Answer.Refused(refusal.copy(outcome = outcome)))
+    }
+
+    private fun kept(result: Answer): RecordedAnswer? {
+        val whole = (result as? Answer.Whole)?.takeIf { it.body.length() <= KEPT_ANSWER_BYTES } ?: return null
+        val body = Base64.getEncoder().encodeToString(whole.body.array())
+        return RecordedAnswer(whole.status.code(), whole.contentType.toString(), body)
+    }
+
+    private fun replay(kept: RecordedAnswer) {
+        exchange.journal.addAnswerHeader("x-almondhaven-replayed", "true")
+        val body = HttpData.wrap(Base64.getDecoder().decode(kept.body))
+        answer.complete(Answer.Whole(HttpStatus.valueOf(kept.status), MediaType.parse(kept.contentType), body))
+    }
+
+    private fun refuse(action: ClaimAction.Refuse) {
+        logUnknown(action.code, action.outcome)
+        if (action.outcome == Outcome.NOT_RUN) exchange.journal.recordFirstUse()
+        answer.complete(Answer.Refused(Refusal(action.code, action.detail, action.outcome, RETRY_AFTER)))
+    }
+
+    private fun logUnknown(
+        code: ResultCode,
+        outcome: Outcome,
+    ) {
+        if (outcome != Outcome.UNKNOWN) return
+        LogEvent.CLAIM_OUTCOME_UNKNOWN.log(logger) { "request=${exchange.requestId} code=$code attempt=$attempt" }
+    }
+
+    private fun later(action: () -> Unit) {
+        exchange.eventLoop.schedule(
+            { if (!answer.isDone) action() },
+            POLL_INTERVAL.inWholeNanoseconds,
+            TimeUnit.NANOSECONDS,
+        )
+    }
+
+    private companion object {
+        const val KEPT_ANSWER_BYTES = 768
+        val POLL_INTERVAL = 100.milliseconds
+        val RETRY_AFTER = 1.seconds
+    }
+}
--- a/router/src/main/kotlin/dev/almondhaven/router/settings/RouterSettings.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/settings/RouterSettings.kt
@@ -66,6 +66,7 @@
     public val process: ProcessSettings,
     public val platform: PlatformSettings,
     public val requests: RequestSettings = RequestSettings(),
+    public val claims: ClaimSettings = ClaimSettings(),
     public val peers: PeerSettings? = null,
     public val choice: ChoiceSettings = ChoiceSettings(),
 ) {
@@ -84,6 +85,10 @@
             addAll(choice.problems())
             addAll(positive("platform.callTimeout", platform.callTimeout))
             addAll(positive("platform.watchWait", platform.watchWait))
+            addAll(positive("claims.writeInterval", claims.writeInterval))
+            addAll(positive("claims.dispatchBound", claims.dispatchBound))
+            addAll(positive("claims.runLimit", claims.runLimit))
+            addAll(positive("claims.relayTimeout", claims.relayTimeout))
             addAll(positive("requests.requestTimeout", requests.requestTimeout))
             peers?.let { addAll(it.problems()) }
         }
