Settle lost answers by note id, keep every entry, show what a loser of a race missed

Cause: a put without an answer was told as failed, a used id older than 64 entries was published again, and a crash between head and entry lost the entry from the audit trail. Change: the head carries its newest entry, the next publisher writes that entry's object before it replaces the head; entries are keyed by id; unanswered writes are settled by reading back with bounded attempts; conflicts carry the difference of the catalogues; reused ids and configurations over 1 MB are refused with numbers; publishing fills in startedAt and the time of a return.

--- a/model/src/main/kotlin/dev/almondhaven/catalogue/CatalogueFold.kt
+++ b/model/src/main/kotlin/dev/almondhaven/catalogue/CatalogueFold.kt
@@ -11,7 +11,15 @@
  *
  * The fold is a pure function, so every holder of the same entries computes the same catalogue.
  */
-public fun Catalogue.accept(entry: ConfigurationEntry): Either<List<Problem>, Catalogue> =
+public fun Catalogue.accept(entry: ConfigurationEntry): Either<List<Problem>, Catalogue> {
+    val problems = CatalogueValidator.idProblems("id", entry.id.value)
+    return fold(entry).fold(
+        { (problems + it).left() },
+        { if (problems.isEmpty()) it.right() else problems.left() },
+    )
+}
+
+private fun Catalogue.fold(entry: ConfigurationEntry): Either<List<Problem>, Catalogue> =
     when (entry) {
         is ConfigurationEntry.NotePublished -> accept(entry.note)
         is ConfigurationEntry.DomainTakenOut -> withDomain(entry.domain) { it.copy(outOfService = true) }
--- a/model/src/main/kotlin/dev/almondhaven/catalogue/CatalogueValidator.kt
+++ b/model/src/main/kotlin/dev/almondhaven/catalogue/CatalogueValidator.kt
@@ -151,7 +151,8 @@
             }
         }
 
-    private fun idProblems(
+    /** What keeps [id] from being an id. */
+    fun idProblems(
         path: String,
         id: String,
     ): List<Problem> = if (idPattern.matches(id)) emptyList() else listOf(Problem(path, id, ID_EXPECTED))
--- /dev/null
+++ b/model/src/main/kotlin/dev/almondhaven/catalogue/EntryStamp.kt
@@ -0,0 +1,36 @@
+package dev.almondhaven.catalogue
+
+/**
+ * This entry with the times filled in that an operator leaves out: [now] (epoch milliseconds) as the start of new
+ * roll-outs and as the time of a domain's return. A roll-out that [catalogue] already runs keeps its start.
+ */
+public fun ConfigurationEntry.stamped(
+    catalogue: Catalogue,
+    now: Long,
+): ConfigurationEntry =
+    when (this) {
+        is ConfigurationEntry.NotePublished -> ConfigurationEntry.NotePublished(note.stamped(catalogue, now))
+        is ConfigurationEntry.DomainReturned -> if (at == 0L) copy(at = now) else this
+        is ConfigurationEntry.DomainTakenOut -> this
+    }
+
+private fun ReleaseNote.stamped(
+    catalogue: Catalogue,
+    now: Long,
+): ReleaseNote {
+    val added = models.added.map { it.stamped(null, now) }
+    val changed = models.changed.map { version -> version.stamped(catalogue.rollOutOf(version), now) }
+    return copy(models = models.copy(added = added, changed = changed))
+}
+
+private fun Catalogue.rollOutOf(version: ModelVersion): RollOut? = models.firstOrNull { it.id == version.id }?.rollOut
+
+private fun ModelVersion.stamped(
+    running: RollOut?,
+    now: Long,
+): ModelVersion {
+    val planned = rollOut ?: return this
+    if (planned.startedAt != 0L) return this
+    val goesOn = running != null && running.copy(startedAt = 0) == planned
+    return copy(rollOut = planned.copy(startedAt = if (goesOn) running.startedAt else now))
+}
--- a/model/src/main/kotlin/dev/almondhaven/model/LogEvent.kt
+++ b/model/src/main/kotlin/dev/almondhaven/model/LogEvent.kt
@@ -28,6 +28,10 @@
     CONFIGURATION_STALE_READ(2002, Level.WARN, "A read returned an older generation than held; it was ignored."),
     PLATFORM_READ_FAILED(2003, Level.WARN, "The platform's object API did not answer a read."),
 
+    SESSION_MOVED(3101, Level.INFO, "A session moved to the successor of its withdrawn version."),
+    SESSION_TOKEN_REFUSED(3102, Level.WARN, "A session token did not verify."),
+    SESSION_HOLDER_SILENT(3103, Level.WARN, "No holder of a session's version answered."),
+
     ENDPOINT_ANSWER_BAD(4001, Level.WARN, "An endpoint's answer failed or could not be read."),
     ;
 
--- a/model/src/main/kotlin/dev/almondhaven/model/ResultCode.kt
+++ b/model/src/main/kotlin/dev/almondhaven/model/ResultCode.kt
@@ -23,8 +23,12 @@
     UNKNOWN_SERVICE(1006, 404, "The service or call does not exist or the organisation may not use it."),
 
     NOT_CONFIGURED(2001, 503, "This router holds no configuration yet."),
+    DOMAIN_OUT_OF_SERVICE(2002, 503, "Operators have taken this router's failure domain out; another router serves."),
 
     NO_MODEL_ALLOWED(3001, 403, "No model is in service that the organisation may use."),
+    SESSION_TOKEN_INVALID(3101, 400, "The session token is forged, damaged, of another organisation or too old."),
+    SESSION_VERSION_WITHDRAWN(3102, 409, "The session's version is withdrawn and has no usable successor."),
+    SESSION_VERSION_NOT_ALLOWED(3103, 403, "The organisation may no longer use the session's version."),
 
     NO_ENDPOINT(4001, 503, "No endpoint in service can take the request."),
     ENDPOINT_UNREACHABLE(4002, 502, "No connection to the endpoint could be opened."),
@@ -40,6 +44,10 @@
     INVALID_NOTE(6002, 0, "The release note is wrong; every problem is listed."),
     PUBLISH_CONFLICT(6003, 0, "Another configuration was accepted first; the differences are listed."),
     PLATFORM_UNAVAILABLE(6004, 0, "The platform's object API does not answer."),
+    CONFIGURATION_TOO_LARGE(6005, 0, "The configuration would be larger than the platform holds; nothing changed."),
+    NOTE_ID_REUSED(6006, 0, "The id already names another accepted entry; nothing changed."),
+    PUBLISH_UNSETTLED(6007, 0, "A write got no answer and may take effect; the same command again settles it."),
+    AUDIT_BROKEN(6008, 0, "The audit trail has gaps or its hashes don't match."),
     ;
 
     public companion object {
--- a/operator/src/main/kotlin/dev/almondhaven/operator/NoteCommands.kt
+++ b/operator/src/main/kotlin/dev/almondhaven/operator/NoteCommands.kt
@@ -46,7 +46,7 @@
         val publisher = Publisher(author, System.currentTimeMillis(), hostName())
         val generation =
             store.publish(ConfigurationEntry.NotePublished(note), publisher).fold({ throw it.toFailure() }, { it })
-        echo("note ${note.id} is accepted as generation $generation")
+        echo("note ${note.id} is accepted as generation ${generation.generation}")
     }
 }
 
--- a/operator/src/main/kotlin/dev/almondhaven/operator/OperatorFailure.kt
+++ b/operator/src/main/kotlin/dev/almondhaven/operator/OperatorFailure.kt
@@ -2,6 +2,7 @@
 
 import com.github.ajalt.clikt.core.CliktError
 import dev.almondhaven.model.ResultCode
+import dev.almondhaven.platform.ObjectStore
 import dev.almondhaven.platform.PublishError
 import dev.almondhaven.settings.Problem
 
@@ -13,8 +14,14 @@
     /** Another operator was first. */
     public const val CONFLICT: Int = 3
 
-    /** The platform didn't answer; nothing certain can be said. */
+    /** The platform didn't answer; nothing was changed. */
     public const val UNAVAILABLE: Int = 4
+
+    /** A write got no answer: it may take effect. Running the same command again settles it. */
+    public const val UNSETTLED: Int = 5
+
+    /** The audit trail doesn't verify. */
+    public const val AUDIT_BROKEN: Int = 6
 }
 
 /** A command's failure as the terminal shows it: number, name and what exactly went wrong. */
@@ -29,19 +36,34 @@
 
 internal fun PublishError.toFailure(): CliktError =
     when (this) {
-        is PublishError.Invalid -> {
-            invalidNote(problems)
-        }
-
-        is PublishError.Conflict -> {
-            failure(
-                ResultCode.PUBLISH_CONFLICT,
-                "generation $found was accepted after $expected was read; look at it and publish again",
-                ExitCode.CONFLICT,
-            )
-        }
-
-        is PublishError.Platform -> {
-            failure(ResultCode.PLATFORM_UNAVAILABLE, "$error", ExitCode.UNAVAILABLE)
-        }
+        is PublishError.Invalid -> invalidNote(problems)
+        is PublishError.Conflict -> conflict(this)
+        is PublishError.IdReused -> idReused(this)
+        is PublishError.TooLarge -> tooLarge(this)
+        is PublishError.Platform -> unavailable("$error; nothing was published")
+        is PublishError.Unsettled -> unsettled(this)
     }
+
+internal fun unavailable(detail: String): CliktError =
+    failure(ResultCode.PLATFORM_UNAVAILABLE, detail, ExitCode.UNAVAILABLE)
+
+private fun conflict(conflict: PublishError.Conflict): CliktError {
+    val changes = conflict.changes.joinToString("") { "\n  $it" }
+    val text = "generation ${conflict.found} was accepted after ${conflict.expected} was read; nothing was published."
+    return failure(ResultCode.PUBLISH_CONFLICT, "$text Changed meanwhile:$changes", ExitCode.CONFLICT)
+}
+
+private fun idReused(reused: PublishError.IdReused): CliktError {
+    val text = "'${reused.id}' names another entry, accepted as generation ${reused.generation}; choose a new id"
+    return failure(ResultCode.NOTE_ID_REUSED, text, ExitCode.INVALID)
+}
+
+private fun tooLarge(error: PublishError.TooLarge): CliktError {
+    val text = "the configuration would have ${error.bytes} bytes; the limit is ${ObjectStore.MAXIMUM_VALUE_BYTES}"
+    return failure(ResultCode.CONFIGURATION_TOO_LARGE, text, ExitCode.INVALID)
+}
+
+private fun unsettled(error: PublishError.Unsettled): CliktError {
+    val text = "${error.error}; '${error.id}' may be accepted now or later. Run the same command again: it settles this"
+    return failure(ResultCode.PUBLISH_UNSETTLED, "$text and never publishes twice", ExitCode.UNSETTLED)
+}
--- a/router/src/test/kotlin/dev/almondhaven/router/TestDeployment.kt
+++ b/router/src/test/kotlin/dev/almondhaven/router/TestDeployment.kt
@@ -65,7 +65,7 @@
     fun publish(note: ReleaseNote = firstNote()): TestDeployment {
         val publisher = Publisher("test", acceptedAt = 0, from = "test")
         val generation = ConfigurationStore(objects).publish(ConfigurationEntry.NotePublished(note), publisher)
-        val expected = "almondhaven_configuration_generation ${generation.getOrNull()?.value?.toDouble()}"
+        val expected = "almondhaven_configuration_generation ${generation.getOrNull()?.generation?.value?.toDouble()}"
         repeat(PATIENCE_STEPS) {
             if (expected in
                 client
