Keep sessions on their version and take whole failure domains out in the router

Cause: nothing pinned a session, and routers of a domain taken out went on. Change: SessionFilter behind parsing (signed tokens, session ids over a directory on two rendezvous holders, one move to the successor, numbered refusals); DomainServiceFilter and readiness follow the catalogue; a builder for release notes, with which TestDeployment shrank.

--- a/decision/src/main/kotlin/dev/almondhaven/decision/session/SessionPin.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/session/SessionPin.kt
@@ -17,16 +17,22 @@
 /**
  * The version that a session runs on.
  *
- * @property issuedAt epoch milliseconds at which the session got this version.
+ * @property issuedAt epoch milliseconds at which the session began, or its token was last renewed.
+ * @property moves how often the session has moved off a withdrawn version.
  */
 @Serializable
 public data class SessionPin(
     public val key: SessionKey,
     public val version: ModelVersionId,
     public val issuedAt: Long,
+    public val moves: Int = 0,
 ) {
-    /** Of two pins of one session the one that every router keeps: the older, or else the lesser name. */
-    public fun olderOf(other: SessionPin): SessionPin = minOf(this, other, OLDEST_FIRST)
+    /** This session on [successor] of its withdrawn version. */
+    public fun movedTo(successor: ModelVersionId): SessionPin = copy(version = successor, moves = moves + 1)
+
+    /** Of two pins of one session the one that every router keeps: the older start, then the one that has moved on. */
+    public fun merge(other: SessionPin): SessionPin = minOf(this, other, MOST_BINDING_FIRST)
 }
 
-private val OLDEST_FIRST: Comparator<SessionPin> = compareBy({ it.issuedAt }, { it.version.toString() })
+private val MOST_BINDING_FIRST: Comparator<SessionPin> =
+    compareBy({ it.issuedAt }, { -it.moves }, { it.version.toString() })
--- a/model/src/main/kotlin/dev/almondhaven/model/ResultCode.kt
+++ b/model/src/main/kotlin/dev/almondhaven/model/ResultCode.kt
@@ -29,6 +29,8 @@
     SESSION_TOKEN_INVALID(3101, 400, "The session token is forged, damaged, of another organisation or too old."),
     SESSION_VERSION_WITHDRAWN(3102, 409, "The session's version is withdrawn and has no usable successor."),
     SESSION_VERSION_NOT_ALLOWED(3103, 403, "The organisation may no longer use the session's version."),
+    SESSION_VERSION_UNKNOWN(3104, 503, "This router's configuration doesn't hold the session's version yet."),
+    SESSION_MODEL_DIFFERS(3105, 409, "The request names a model that its session doesn't run on."),
 
     NO_ENDPOINT(4001, 503, "No endpoint in service can take the request."),
     ENDPOINT_UNREACHABLE(4002, 502, "No connection to the endpoint could be opened."),
--- a/router/src/main/kotlin/dev/almondhaven/router/Router.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/Router.kt
@@ -16,13 +16,16 @@
 import dev.almondhaven.router.endpoint.Dispatcher
 import dev.almondhaven.router.endpoint.EndpointClients
 import dev.almondhaven.router.filter.AdmissionFilter
+import dev.almondhaven.router.filter.DomainServiceFilter
 import dev.almondhaven.router.filter.EndpointChoiceFilter
 import dev.almondhaven.router.filter.IdentifyFilter
 import dev.almondhaven.router.filter.ModelChoiceFilter
 import dev.almondhaven.router.filter.ModelListFilter
 import dev.almondhaven.router.filter.ParseFilter
 import dev.almondhaven.router.filter.RequestHandler
+import dev.almondhaven.router.filter.SessionFilter
 import dev.almondhaven.router.filter.filterChain
+import dev.almondhaven.router.session.LocalSessionDirectory
 import dev.almondhaven.router.settings.RouterSettings
 import io.github.oshai.kotlinlogging.KotlinLogging
 import java.net.InetSocketAddress
@@ -50,6 +53,7 @@
     private val holder = CatalogueHolder()
     private val workers = EndpointClients.newWorkers(Runtime.getRuntime().availableProcessors())
     private val clients = EndpointClients(workers)
+    private val sessions = LocalSessionDirectory(settings.sessions)
     private val watcher = ConfigurationWatcher(objects, holder, settings.platform.watchWait)
     private val server = buildServer()
 
@@ -64,6 +68,9 @@
             holder.index.generation.value
                 .toDouble()
         }
+        metrics.gauge("almondhaven_sessions_remembered", "Sessions known by their id that this router remembers.") {
+            sessions.size.toDouble()
+        }
         watcher.start()
         server.start().join()
         LogEvent.ROUTER_STARTED.log(logger) { "port=$port domain=${settings.process.failureDomain}" }
@@ -72,9 +79,11 @@
     private fun chain(): RequestHandler =
         filterChain(
             listOf(
+                DomainServiceFilter(holder, settings.process.failureDomain),
                 IdentifyFilter(holder),
                 ParseFilter(holder),
                 ModelListFilter(holder),
+                SessionFilter(holder, settings.sessions.tokens(), sessions, System::currentTimeMillis),
                 AdmissionFilter(settings.requests.inFlight),
                 ModelChoiceFilter(holder),
                 EndpointChoiceFilter(holder, settings.process.failureDomain),
@@ -92,11 +101,14 @@
             .maxRequestLength(settings.requests.bodyBytes)
             .gracefulShutdownTimeoutMillis(QUIET_PERIOD.inWholeMilliseconds, DRAIN_TIMEOUT.inWholeMilliseconds)
             .service("/health/live", HttpService { _, _ -> HttpResponse.of(HttpStatus.OK) })
-            .service("/health/ready", HealthCheckService.of(HealthChecker { holder.configured && !draining }))
+            .service("/health/ready", HealthCheckService.of(HealthChecker { takesWork() }))
             .service("/metrics", HttpService { _, _ -> metricsResponse() })
             .service("prefix:/", CallerService(chain(), metrics, settings.requests.requestTimeout, clock))
             .build()
 
+    private fun takesWork(): Boolean =
+        holder.configured && !draining && holder.index.inService(settings.process.failureDomain)
+
     private fun metricsResponse(): HttpResponse =
         HttpResponse.of(HttpStatus.OK, MediaType.PLAIN_TEXT_UTF_8, metrics.text())
 
--- a/router/src/main/kotlin/dev/almondhaven/router/settings/RouterSettings.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/settings/RouterSettings.kt
@@ -66,6 +66,7 @@
     public val process: ProcessSettings,
     public val platform: PlatformSettings,
     public val requests: RequestSettings = RequestSettings(),
+    public val sessions: SessionSettings = SessionSettings(),
 ) {
     /** Everything that is wrong with the values themselves. */
     internal fun problems(): List<Problem> =
@@ -82,13 +83,9 @@
             addAll(positive("platform.callTimeout", platform.callTimeout))
             addAll(positive("platform.watchWait", platform.watchWait))
             addAll(positive("requests.requestTimeout", requests.requestTimeout))
+            addAll(sessions.problems())
         }
 
-    private fun positive(
-        path: String,
-        value: Duration,
-    ): List<Problem> = if (value.isPositive()) emptyList() else listOf(Problem(path, "$value", "more than 0s"))
-
     public companion object {
         private val HOST_AND_PORT = Regex("""(\d{1,3}\.){3}\d{1,3}:\d{1,5}|\[[0-9a-fA-F:]+]:\d{1,5}""")
 
--- a/router/src/test/kotlin/dev/almondhaven/router/TestDeployment.kt
+++ b/router/src/test/kotlin/dev/almondhaven/router/TestDeployment.kt
@@ -6,38 +6,20 @@
 import com.linecorp.armeria.common.HttpMethod
 import com.linecorp.armeria.common.MediaType
 import com.linecorp.armeria.common.RequestHeaders
-import dev.almondhaven.catalogue.AllowedModel
+import com.linecorp.armeria.common.RequestHeadersBuilder
 import dev.almondhaven.catalogue.ConfigurationEntry
-import dev.almondhaven.catalogue.Endpoint
-import dev.almondhaven.catalogue.EndpointChanges
-import dev.almondhaven.catalogue.FailureDomain
-import dev.almondhaven.catalogue.FailureDomainChanges
-import dev.almondhaven.catalogue.ModelChanges
-import dev.almondhaven.catalogue.ModelVersion
-import dev.almondhaven.catalogue.Organisation
-import dev.almondhaven.catalogue.OrganisationChanges
-import dev.almondhaven.catalogue.Price
-import dev.almondhaven.catalogue.QualityPrior
-import dev.almondhaven.catalogue.QualityTarget
+import dev.almondhaven.catalogue.OrganisationBuilder
 import dev.almondhaven.catalogue.ReleaseNote
-import dev.almondhaven.catalogue.Service
-import dev.almondhaven.catalogue.ServiceCall
-import dev.almondhaven.catalogue.ServiceChanges
-import dev.almondhaven.model.EndpointId
+import dev.almondhaven.catalogue.releaseNote
 import dev.almondhaven.model.FailureDomainId
-import dev.almondhaven.model.ModelId
-import dev.almondhaven.model.ModelVersionId
-import dev.almondhaven.model.NoteId
-import dev.almondhaven.model.OrganisationId
-import dev.almondhaven.model.RegionId
-import dev.almondhaven.model.ServiceId
-import dev.almondhaven.model.VersionId
 import dev.almondhaven.platform.ConfigurationStore
 import dev.almondhaven.platform.InMemoryObjectStore
 import dev.almondhaven.platform.Publisher
 import dev.almondhaven.router.settings.PlatformSettings
 import dev.almondhaven.router.settings.ProcessSettings
 import dev.almondhaven.router.settings.RouterSettings
+import dev.almondhaven.router.settings.SessionKeySetting
+import dev.almondhaven.router.settings.SessionSettings
 import dev.almondhaven.standins.EngineBehaviour
 import dev.almondhaven.standins.EngineStandIn
 import dev.almondhaven.standins.ServiceStandIn
@@ -51,105 +33,74 @@
     val objects = InMemoryObjectStore()
     val engine = EngineStandIn(behaviour)
     val service = ServiceStandIn()
+
+    /** `ip:port` of the engine. */
+    val engineAddress: String get() = engineServer.hostAndPort
     private val engineServer = StandInServer.start { engine.addTo(it) }
     private val serviceServer = StandInServer.start { service.addTo(it) }
     private val settings =
         RouterSettings(
             ProcessSettings(FailureDomainId("west"), "127.0.0.1:0"),
             PlatformSettings("http://127.0.0.1:1"),
+            sessions = SessionSettings(keys = listOf(SessionKeySetting("test", "x".repeat(32)))),
         )
     val router = Router.start(settings, objects)
     val client: WebClient = WebClient.of("http://127.0.0.1:${router.port}")
 
     /** Publishes the note and waits until it is in force. */
-    fun publish(note: ReleaseNote = firstNote()): TestDeployment {
+    fun publish(note: ReleaseNote = firstNote()): TestDeployment = publish(ConfigurationEntry.NotePublished(note))
+
+    /** Publishes the entry and waits until it is in force. */
+    fun publish(entry: ConfigurationEntry): TestDeployment {
         val publisher = Publisher("test", acceptedAt = 0, from = "test")
-        val generation = ConfigurationStore(objects).publish(ConfigurationEntry.NotePublished(note), publisher)
-        val expected = "almondhaven_configuration_generation ${generation.getOrNull()?.generation?.value?.toDouble()}"
+        val accepted = ConfigurationStore(objects).publish(entry, publisher)
+        val generation = accepted.fold({ error("not accepted: $it") }, { it.generation })
+        val expected = "almondhaven_configuration_generation ${generation.value.toDouble()}"
         repeat(PATIENCE_STEPS) {
-            if (expected in
-                client
-                    .get("/metrics")
-                    .aggregate()
-                    .join()
-                    .contentUtf8()
-            ) {
-                return this
-            }
+            if (expected in get("/metrics").contentUtf8()) return this
             TimeUnit.MILLISECONDS.sleep(STEP_MILLIS)
         }
         error("generation $generation did not come in force")
     }
 
+    fun get(path: String): AggregatedHttpResponse = client.get(path).aggregate().join()
+
     fun firstNote(): ReleaseNote =
-        ReleaseNote(
-            NoteId("first"),
-            "start",
-            failureDomains =
-                FailureDomainChanges(added = listOf(FailureDomain(FailureDomainId("west"), RegionId("wales")))),
-            models =
-                ModelChanges(
-                    added =
-                        listOf(
-                            ModelVersion(
-                                ModelId("slate"),
-                                VersionId("1"),
-                                price = Price(1.0, 2.0),
-                                quality = QualityPrior(0.9),
-                            ),
-                        ),
-                ),
-            organisations =
-                OrganisationChanges(
-                    added =
-                        listOf(
-                            Organisation(
-                                OrganisationId("roofers"),
-                                listOf(digest(TOKEN)),
-                                quality = QualityTarget(0.8),
-                                models = listOf(AllowedModel(ModelId("slate"))),
-                                services = listOf(ServiceId("orders")),
-                            ),
-                        ),
-                ),
-            services =
-                ServiceChanges(
-                    added =
-                        listOf(
-                            Service(ServiceId("orders"), listOf(ServiceCall("GET", "/stock", idempotent = true))),
-                        ),
-                ),
-            endpoints =
-                EndpointChanges(
-                    added =
-                        listOf(
-                            Endpoint(
-                                EndpointId("engine"),
-                                FailureDomainId("west"),
-                                engineServer.hostAndPort,
-                                listOf(ModelVersionId.parse("slate@1")),
-                            ),
-                            Endpoint(
-                                EndpointId("service"),
-                                FailureDomainId("west"),
-                                serviceServer.hostAndPort,
-                                service = ServiceId("orders"),
-                            ),
-                        ),
-                ),
-        )
+        releaseNote("first", reason = "start") {
+            failureDomain("west", region = "wales")
+            model("slate", "1") {
+                price(input = 1.0, output = 2.0)
+                quality(0.9)
+            }
+            organisation("roofers") {
+                roofers()
+                allow("slate")
+            }
+            service("orders") { call("GET", "/stock", idempotent = true) }
+            engine("engine", "west", engineServer.hostAndPort, "slate@1")
+            serviceEndpoint("service", "west", serviceServer.hostAndPort, "orders")
+        }
+
+    /** What the organisation `roofers` has in every note, its models aside. */
+    fun OrganisationBuilder.roofers() {
+        tokenDigest(digest(TOKEN))
+        quality(0.8)
+        allowService("orders")
+    }
 
     fun send(
         body: String,
         path: String = "/v1/chat/completions",
         method: HttpMethod = HttpMethod.POST,
         token: String = TOKEN,
+        additional: RequestHeadersBuilder.() -> Unit = {},
     ): AggregatedHttpResponse {
         val headers =
             RequestHeaders
                 .builder(method, path)
                 .contentType(MediaType.JSON)
                 .set("authorization", "Bearer $token")
+                .apply(additional)
                 .build()
         return client.execute(headers, body).aggregate().join()
     }
