--- a/router/src/main/kotlin/dev/almondhaven/router/Router.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/Router.kt
@@ -7,10 +7,13 @@
 import com.linecorp.armeria.server.Server
 import com.linecorp.armeria.server.healthcheck.HealthCheckService
 import com.linecorp.armeria.server.healthcheck.HealthChecker
+import dev.almondhaven.decision.membership.Member
 import dev.almondhaven.model.LogEvent
 import dev.almondhaven.model.NanoClock
 import dev.almondhaven.platform.HttpObjectStore
 import dev.almondhaven.platform.ObjectStore
+import dev.almondhaven.router.claim.Claims
+import dev.almondhaven.router.claim.RepeatOutcomeFilter
 import dev.almondhaven.router.controller.CatalogueHolder
 import dev.almondhaven.router.controller.ConfigurationWatcher
 import dev.almondhaven.router.endpoint.Dispatcher
@@ -23,12 +26,12 @@
 import dev.almondhaven.router.filter.ModelListFilter
 import dev.almondhaven.router.filter.ParseFilter
 import dev.almondhaven.router.filter.RequestHandler
-import dev.almondhaven.router.filter.SessionFilter
 import dev.almondhaven.router.filter.filterChain
-import dev.almondhaven.router.session.LocalSessionDirectory
+import dev.almondhaven.router.peer.PeerNetwork
+import dev.almondhaven.router.session.Sessions
 import dev.almondhaven.router.settings.RouterSettings
+import dev.almondhaven.router.settings.socketAddress
 import io.github.oshai.kotlinlogging.KotlinLogging
-import java.net.InetSocketAddress
 import java.net.URI
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
@@ -53,8 +56,10 @@
     private val holder = CatalogueHolder()
     private val workers = EndpointClients.newWorkers(Runtime.getRuntime().availableProcessors())
     private val clients = EndpointClients(workers)
-    private val sessions = LocalSessionDirectory(settings.sessions)
+    private val peers = PeerNetwork.open(settings.peers, settings.process.failureDomain)
+    private val sessions = Sessions(settings.sessions, peers)
     private val watcher = ConfigurationWatcher(objects, holder, settings.platform.watchWait)
+    private val claims = Claims(settings.claims, objects, clock, peers)
     private val server = buildServer()
 
     @Volatile
@@ -63,13 +68,16 @@
     /** Port for callers. */
     public val port: Int get() = server.activeLocalPort()
 
+    /** This router as its peers know it. */
+    public val self: Member get() = peers.self
+
     private fun start() {
         metrics.gauge("almondhaven_configuration_generation", "Generation in force on this router.") {
             holder.index.generation.value
                 .toDouble()
         }
         metrics.gauge("almondhaven_sessions_remembered", "Sessions known by their id that this router remembers.") {
-            sessions.size.toDouble()
+            sessions.remembered.toDouble()
         }
         watcher.start()
         server.start().join()
@@ -79,16 +87,18 @@
     private fun chain(): RequestHandler =
         filterChain(
             listOf(
+                RepeatOutcomeFilter,
                 DomainServiceFilter(holder, settings.process.failureDomain),
                 IdentifyFilter(holder),
                 ParseFilter(holder),
                 ModelListFilter(holder),
-                SessionFilter(holder, settings.sessions.tokens(), sessions, System::currentTimeMillis),
+                sessions.filter(holder),
                 AdmissionFilter(settings.requests.inFlight),
+                claims.filter,
                 ModelChoiceFilter(holder),
                 EndpointChoiceFilter(holder, settings.process.failureDomain),
             ),
-            Dispatcher(holder, clients, clock),
+            Dispatcher(holder, clients, clock, settings.claims.runLimit),
         )
 
     private fun buildServer(): Server =
@@ -112,17 +122,14 @@
     private fun metricsResponse(): HttpResponse =
         HttpResponse.of(HttpStatus.OK, MediaType.PLAIN_TEXT_UTF_8, metrics.text())
 
-    private fun socketAddress(hostAndPort: String): InetSocketAddress {
-        val host = hostAndPort.substringBeforeLast(':').trim('[', ']')
-        return InetSocketAddress(host, hostAndPort.substringAfterLast(':').toInt())
-    }
-
     /** Fails readiness, lets running requests finish within the drain deadline, and stops. */
     override fun close() {
         LogEvent.ROUTER_STOPPING.log(logger)
         draining = true
         server.stop().join()
+        claims.close()
         watcher.close()
+        peers.close()
         clients.close()
         workers.shutdownGracefully(0, 0, TimeUnit.SECONDS)
         LogEvent.ROUTER_STOPPED.log(logger)
--- a/router/src/main/kotlin/dev/almondhaven/router/settings/RouterSettings.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/settings/RouterSettings.kt
@@ -67,6 +67,8 @@
     public val platform: PlatformSettings,
     public val requests: RequestSettings = RequestSettings(),
     public val sessions: SessionSettings = SessionSettings(),
+    public val claims: ClaimSettings = ClaimSettings(),
+    public val peers: PeerSettings? = null,
 ) {
     /** Everything that is wrong with the values themselves. */
     internal fun problems(): List<Problem> =
@@ -82,12 +84,22 @@
             if (requests.inFlight <= 0) add(Problem("requests.inFlight", "${requests.inFlight}", "1 or more"))
             addAll(positive("platform.callTimeout", platform.callTimeout))
             addAll(positive("platform.watchWait", platform.watchWait))
+            addAll(positive("claims.writeInterval", claims.writeInterval))
+            addAll(positive("claims.dispatchBound", claims.dispatchBound))
+            addAll(positive("claims.runLimit", claims.runLimit))
+            addAll(positive("claims.relayTimeout", claims.relayTimeout))
             addAll(positive("requests.requestTimeout", requests.requestTimeout))
             addAll(sessions.problems())
+            peers?.let { addAll(it.problems()) }
         }
 
     public companion object {
-        private val HOST_AND_PORT = Regex("""(\d{1,3}\.){3}\d{1,3}:\d{1,5}|\[[0-9a-fA-F:]+]:\d{1,5}""")
+        internal val HOST_AND_PORT = Regex("""(\d{1,3}\.){3}\d{1,3}:\d{1,5}|\[[0-9a-fA-F:]+]:\d{1,5}""")
+
+        internal fun positive(
+            path: String,
+            value: Duration,
+        ): List<Problem> = if (value.isPositive()) emptyList() else listOf(Problem(path, "$value", "more than 0s"))
 
         /** Parses and checks settings; the left side lists every problem. */
         public fun parse(text: String): Either<List<Problem>, RouterSettings> =
--- a/router/src/main/kotlin/dev/almondhaven/router/settings/SessionSettings.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/settings/SessionSettings.kt
@@ -57,9 +57,9 @@
             if (ids.size != ids.toSet().size) add(Problem("sessions.keys", "$ids", "ids that differ"))
             if (signWith.isNotEmpty() && signWith !in ids) add(Problem("sessions.signWith", signWith, "one of $ids"))
             if (directoryEntries <= 0) add(Problem("sessions.directoryEntries", "$directoryEntries", "1 or more"))
-            addAll(positive("sessions.tokenMaximumAge", tokenMaximumAge))
-            addAll(positive("sessions.directoryAge", directoryAge))
-            addAll(positive("sessions.directoryTimeout", directoryTimeout))
+            addAll(RouterSettings.positive("sessions.tokenMaximumAge", tokenMaximumAge))
+            addAll(RouterSettings.positive("sessions.directoryAge", directoryAge))
+            addAll(RouterSettings.positive("sessions.directoryTimeout", directoryTimeout))
         }
 
     private fun problems(
@@ -78,9 +78,3 @@
         val KEY_ID = Regex("[A-Za-z0-9-]+")
     }
 }
-
-/** The problem of a duration that isn't positive, if so. */
-internal fun positive(
-    path: String,
-    value: Duration,
-): List<Problem> = if (value.isPositive()) emptyList() else listOf(Problem(path, "$value", "more than 0s"))
