--- a/router/src/main/kotlin/dev/almondhaven/router/Router.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/Router.kt
@@ -19,6 +19,7 @@
 import dev.almondhaven.router.endpoint.Dispatcher
 import dev.almondhaven.router.endpoint.EndpointClients
 import dev.almondhaven.router.filter.AdmissionFilter
+import dev.almondhaven.router.filter.DomainServiceFilter
 import dev.almondhaven.router.filter.EndpointChoiceFilter
 import dev.almondhaven.router.filter.IdentifyFilter
 import dev.almondhaven.router.filter.ModelListFilter
@@ -26,6 +27,7 @@
 import dev.almondhaven.router.filter.RequestHandler
 import dev.almondhaven.router.filter.filterChain
 import dev.almondhaven.router.peer.PeerNetwork
+import dev.almondhaven.router.session.Sessions
 import dev.almondhaven.router.settings.RouterSettings
 import dev.almondhaven.router.settings.socketAddress
 import io.github.oshai.kotlinlogging.KotlinLogging
@@ -54,6 +56,7 @@
     private val workers = EndpointClients.newWorkers(Runtime.getRuntime().availableProcessors())
     private val clients = EndpointClients(workers)
     private val peers = PeerNetwork.open(settings.peers, settings.process.failureDomain)
+    private val sessions = Sessions(settings.sessions, peers)
     private val watcher = ConfigurationWatcher(objects, holder, settings.platform.watchWait)
     private val claims = Claims(settings.claims, objects, clock, peers)
     private val choice =
@@ -74,6 +77,9 @@
             holder.index.generation.value
                 .toDouble()
         }
+        metrics.gauge("almondhaven_sessions_remembered", "Sessions known by their id that this router remembers.") {
+            sessions.remembered.toDouble()
+        }
         watcher.start()
         choice.topics.forEach { peers.topics.register(it) }
         choice.start()
@@ -85,9 +91,11 @@
         filterChain(
             listOf(
                 RepeatOutcomeFilter,
+                DomainServiceFilter(holder, settings.process.failureDomain),
                 IdentifyFilter(holder),
                 ParseFilter(holder),
                 ModelListFilter(holder),
+                sessions.filter(holder),
                 AdmissionFilter(settings.requests.inFlight),
                 claims.filter,
                 choice.filter(),
@@ -106,11 +114,14 @@
             .maxRequestLength(settings.requests.bodyBytes)
             .gracefulShutdownTimeoutMillis(QUIET_PERIOD.inWholeMilliseconds, DRAIN_TIMEOUT.inWholeMilliseconds)
             .service("/health/live", HttpService { _, _ -> HttpResponse.of(HttpStatus.OK) })
-            .service("/health/ready", HealthCheckService.of(HealthChecker { holder.configured && !draining }))
+            .service("/health/ready", HealthCheckService.of(HealthChecker { takesWork() }))
             .service("/metrics", HttpService { _, _ -> metricsResponse() })
             .service("prefix:/", CallerService(chain(), metrics, settings.requests.requestTimeout, clock))
             .build()
 
+    private fun takesWork(): Boolean =
+        holder.configured && !draining && holder.index.inService(settings.process.failureDomain)
+
     private fun metricsResponse(): HttpResponse =
         HttpResponse.of(HttpStatus.OK, MediaType.PLAIN_TEXT_UTF_8, metrics.text())
 
--- a/router/src/main/kotlin/dev/almondhaven/router/settings/RouterSettings.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/settings/RouterSettings.kt
@@ -66,6 +66,7 @@
     public val process: ProcessSettings,
     public val platform: PlatformSettings,
     public val requests: RequestSettings = RequestSettings(),
+    public val sessions: SessionSettings = SessionSettings(),
     public val claims: ClaimSettings = ClaimSettings(),
     public val peers: PeerSettings? = null,
     public val choice: ChoiceSettings = ChoiceSettings(),
@@ -90,6 +91,7 @@
             addAll(positive("claims.runLimit", claims.runLimit))
             addAll(positive("claims.relayTimeout", claims.relayTimeout))
             addAll(positive("requests.requestTimeout", requests.requestTimeout))
+            addAll(sessions.problems())
             peers?.let { addAll(it.problems()) }
         }
 
