Retry, resume, choose and ramp: the serving path's first working part

Cause: a failed attempt was the caller's error, a lost stream was cut, every endpoint got whatever came. Change: RetryFilter with a budget fed by successes, AnswerRelay that resumes streams behind the last frame, ejection with a floor and half-open probes, choice of a few by own requests and fading reports, ramp of cold endpoints by fleet share.

--- /dev/null
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/endpoint/ColdRamp.kt
@@ -0,0 +1,34 @@
+package dev.almondhaven.decision.endpoint
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * What the whole fleet may have in flight at an endpoint that has just started: [initialLimit], doubled every [step].
+ */
+public data class ColdRamp(
+    public val initialLimit: Int = DEFAULT_INITIAL_LIMIT,
+    public val step: Duration = DEFAULT_STEP,
+) {
+    init {
+        require(initialLimit >= 1) { "initialLimit must be 1 or more, got $initialLimit" }
+        require(step.isPositive()) { "step must be positive, got $step" }
+    }
+
+    /** The fleet's limit [age] after the start; null once it has reached [slots], when the endpoint is warm. */
+    public fun fleetLimit(
+        slots: Int,
+        age: Duration,
+    ): Int? {
+        if (age.isNegative()) return minOf(initialLimit, slots)
+        val doublings = minOf((age / step).toInt(), MAXIMUM_DOUBLINGS)
+        val limit = initialLimit.toLong() shl doublings
+        return if (limit >= slots && doublings > 0) null else minOf(limit, slots.toLong()).toInt()
+    }
+
+    public companion object {
+        public const val DEFAULT_INITIAL_LIMIT: Int = 2
+        private const val MAXIMUM_DOUBLINGS = 20
+        private val DEFAULT_STEP = 3.seconds
+    }
+}
--- a/model/src/main/kotlin/dev/almondhaven/model/LogEvent.kt
+++ b/model/src/main/kotlin/dev/almondhaven/model/LogEvent.kt
@@ -29,6 +29,9 @@
     PLATFORM_READ_FAILED(2003, Level.WARN, "The platform's object API did not answer a read."),
 
     ENDPOINT_ANSWER_BAD(4001, Level.WARN, "An endpoint's answer failed or could not be read."),
+    ENDPOINT_EJECTED(4002, Level.WARN, "An endpoint failed repeatedly and gets no requests for a while."),
+    ENDPOINT_COLD(4003, Level.INFO, "An endpoint is cold; it is ramped from a small limit."),
+    ANSWER_RESUMED(4004, Level.INFO, "A streamed answer goes on at another endpoint."),
     ;
 
     /** Logs this event to [logger] with [detail], which ought to be `name=value` pairs. */
--- a/model/src/main/kotlin/dev/almondhaven/model/ResultCode.kt
+++ b/model/src/main/kotlin/dev/almondhaven/model/ResultCode.kt
@@ -33,6 +33,8 @@
     ANSWER_CUT(4005, 502, "The endpoint's answer ended before it was complete."),
     DEADLINE_EXCEEDED(4006, 504, "The request's deadline passed."),
     OVERLOADED(4007, 429, "More requests wait or run than the limits allow."),
+    ENDPOINT_SILENT(4008, 504, "The endpoint sent nothing for longer than the silence deadline."),
+    CALLER_TOO_SLOW(4009, 408, "The caller took nothing of its answer for longer than the stall deadline."),
 
     INTERNAL_ERROR(5001, 500, "The router met an unexpected error."),
 
--- a/router/src/main/kotlin/dev/almondhaven/router/Router.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/Router.kt
@@ -7,14 +7,19 @@
 import com.linecorp.armeria.server.Server
 import com.linecorp.armeria.server.healthcheck.HealthCheckService
 import com.linecorp.armeria.server.healthcheck.HealthChecker
+import dev.almondhaven.decision.membership.FleetView
+import dev.almondhaven.decision.membership.Member
 import dev.almondhaven.model.LogEvent
 import dev.almondhaven.model.NanoClock
+import dev.almondhaven.model.RouterId
 import dev.almondhaven.platform.HttpObjectStore
 import dev.almondhaven.platform.ObjectStore
 import dev.almondhaven.router.controller.CatalogueHolder
 import dev.almondhaven.router.controller.ConfigurationWatcher
 import dev.almondhaven.router.endpoint.Dispatcher
 import dev.almondhaven.router.endpoint.EndpointClients
+import dev.almondhaven.router.endpoint.EndpointDirectory
+import dev.almondhaven.router.endpoint.LoadReportPoller
 import dev.almondhaven.router.filter.AdmissionFilter
 import dev.almondhaven.router.filter.EndpointChoiceFilter
 import dev.almondhaven.router.filter.IdentifyFilter
@@ -22,11 +27,13 @@
 import dev.almondhaven.router.filter.ModelListFilter
 import dev.almondhaven.router.filter.ParseFilter
 import dev.almondhaven.router.filter.RequestHandler
+import dev.almondhaven.router.filter.RetryFilter
 import dev.almondhaven.router.filter.filterChain
 import dev.almondhaven.router.settings.RouterSettings
 import io.github.oshai.kotlinlogging.KotlinLogging
 import java.net.InetSocketAddress
 import java.net.URI
+import java.util.UUID
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -49,7 +56,10 @@
     private val metrics = RouterMetrics()
     private val holder = CatalogueHolder()
     private val workers = EndpointClients.newWorkers(Runtime.getRuntime().availableProcessors())
-    private val clients = EndpointClients(workers)
+    private val clients = EndpointClients(workers, settings.endpoints.connectTimeout, settings.endpoints.pingInterval)
+    private val fleet = fleetView()
+    private val directory = EndpointDirectory(holder, fleet, clock)
+    private val loadReports = LoadReportPoller(directory, clients, clock, settings.endpoints.statusInterval)
     private val watcher = ConfigurationWatcher(objects, holder, settings.platform.watchWait)
     private val server = buildServer()
 
@@ -69,6 +79,11 @@
         LogEvent.ROUTER_STARTED.log(logger) { "port=$port domain=${settings.process.failureDomain}" }
     }
 
+    private fun fleetView(): FleetView {
+        val id = RouterId(UUID.randomUUID().toString())
+        return FleetView.alone(Member(id, settings.process.failureDomain, settings.process.listen))
+    }
+
     private fun chain(): RequestHandler =
         filterChain(
             listOf(
@@ -77,9 +92,10 @@
                 ModelListFilter(holder),
                 AdmissionFilter(settings.requests.inFlight),
                 ModelChoiceFilter(holder),
-                EndpointChoiceFilter(holder, settings.process.failureDomain),
+                RetryFilter(settings.endpoints, clock),
+                EndpointChoiceFilter(directory, clock),
             ),
-            Dispatcher(holder, clients, clock),
+            Dispatcher(holder, clients, clock, settings.endpoints.firstByteDeadline),
         )
 
     private fun buildServer(): Server =
@@ -111,6 +127,8 @@
         draining = true
         server.stop().join()
         watcher.close()
+        loadReports.close()
+        directory.close()
         clients.close()
         workers.shutdownGracefully(0, 0, TimeUnit.SECONDS)
         LogEvent.ROUTER_STOPPED.log(logger)
--- a/router/src/main/kotlin/dev/almondhaven/router/endpoint/AnswerFrames.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/endpoint/AnswerFrames.kt
@@ -1,5 +1,6 @@
 package dev.almondhaven.router.endpoint
 
+import com.linecorp.armeria.client.ResponseTimeoutException
 import com.linecorp.armeria.common.stream.StreamMessage
 import dev.almondhaven.model.Refusal
 import dev.almondhaven.model.ResultCode
@@ -15,11 +16,14 @@
 /**
  * Turns an engine's events into answer frames. Duplicates and frames behind the end are dropped; a stream that ends
  * without `[DONE]`, or holds what isn't JSON, ends with [AnswerFrame.Failed].
+ *
+ * @param resumedAfter sequence number behind which the engine said it begins; 0 for a whole answer.
  */
 internal class AnswerFrames(
     private val journal: RequestJournal,
+    resumedAfter: Long = 0,
 ) {
-    private var lastSequence = 0L
+    private var lastSequence = resumedAfter
     private var ended = false
 
     /** The frames of the answer in [events]. */
@@ -30,8 +34,13 @@
     }
 
     private fun recovered(frames: StreamMessage<AnswerFrame>): StreamMessage<AnswerFrame> =
-        frames.recoverAndResume { cause ->
-            StreamMessage.of(fail(ResultCode.ANSWER_CUT, "the endpoint's answer broke off: ${cause.message}"))
+        frames.recoverAndResume { cause -> StreamMessage.of(broken(cause)) }
+
+    private fun broken(cause: Throwable): AnswerFrame =
+        if (cause is ResponseTimeoutException) {
+            fail(ResultCode.DEADLINE_EXCEEDED, "the deadline passed during the answer")
+        } else {
+            fail(ResultCode.ANSWER_CUT, "the endpoint's answer broke off: ${cause.message}")
         }
 
     private fun toFrame(event: ServerSentEvent): AnswerFrame {
--- a/router/src/main/kotlin/dev/almondhaven/router/endpoint/Dispatcher.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/endpoint/Dispatcher.kt
@@ -1,5 +1,6 @@
 package dev.almondhaven.router.endpoint
 
+import com.linecorp.armeria.client.Clients
 import com.linecorp.armeria.client.RequestOptions
 import com.linecorp.armeria.client.ResponseTimeoutException
 import com.linecorp.armeria.client.UnprocessedRequestException
@@ -14,13 +15,14 @@
 import com.linecorp.armeria.common.RequestHeaders
 import com.linecorp.armeria.common.ResponseHeaders
 import com.linecorp.armeria.common.SplitHttpResponse
+import com.linecorp.armeria.common.logging.RequestLogProperty
 import dev.almondhaven.model.LogEvent
 import dev.almondhaven.model.NanoClock
-import dev.almondhaven.model.Outcome
 import dev.almondhaven.model.Refusal
 import dev.almondhaven.model.ResultCode
 import dev.almondhaven.router.controller.CatalogueHolder
 import dev.almondhaven.router.filter.Answer
+import dev.almondhaven.router.filter.AttemptResult
 import dev.almondhaven.router.filter.Call
 import dev.almondhaven.router.filter.Exchange
 import dev.almondhaven.router.filter.RequestHandler
@@ -30,12 +32,18 @@
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonPrimitive
+import java.net.ConnectException
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.CompletionException
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.nanoseconds
 
 private val logger = KotlinLogging.logger {}
 
+/** The first byte of an answer didn't come in time. */
+private class EndpointSilentException : RuntimeException(null, null, false, false)
+
 /**
  * The end of the filter chain: sends the request to the chosen endpoint and reads its answer. Immediately before the
  * dispatch it checks once more, against the newest catalogue, that the version is allowed.
@@ -44,6 +52,7 @@
     private val holder: CatalogueHolder,
     private val clients: EndpointClients,
     private val clock: NanoClock,
+    private val firstByteDeadline: Duration,
 ) : RequestHandler {
     override fun handle(exchange: Exchange): CompletableFuture<Answer> {
         val remaining = (exchange.deadline - clock.nanos()).nanoseconds
@@ -55,18 +64,29 @@
             return refused(exchange, ResultCode.UNKNOWN_MODEL, "${version.id} is no longer allowed")
         }
         val options = RequestOptions.builder().responseTimeoutMillis(remaining.inWholeMilliseconds).build()
-        val response = clients.of(exchange.endpoint).execute(requestFor(exchange), options)
+        val request = requestFor(exchange)
         exchange.journal.recordDispatch()
+        val response = execute(exchange, request, options)
+        if (exchange.call.idempotent) exchange.journal.whenEnded { response.abort() }
         val call = exchange.call
-        return if (call is Call.Model &&
-            call.streamed
-        ) {
-            readStream(exchange, response)
-        } else {
-            readWhole(exchange, response)
-        }
+        val streamed = call is Call.Model && call.streamed
+        return if (streamed) readStream(exchange, response) else readWhole(exchange, response)
     }
 
+    private fun execute(
+        exchange: Exchange,
+        request: HttpRequest,
+        options: RequestOptions,
+    ): HttpResponse =
+        Clients.newContextCaptor().use { captor ->
+            val response = clients.of(exchange.endpoint).execute(request, options)
+            captor.get().log().whenAvailable(RequestLogProperty.SESSION).thenAccept { log ->
+                val channel = log.channel() ?: return@thenAccept
+                exchange.attempt.recordConnection(EndpointConnection.of(channel, clock.nanos()))
+            }
+            response
+        }
+
     private fun requestFor(exchange: Exchange): HttpRequest =
         when (val call = exchange.call) {
             is Call.Model -> modelRequest(exchange, call)
@@ -81,15 +101,19 @@
         val version = checkNotNull(exchange.version) { "no version chosen: ${exchange.requestId}" }
         val fields = LinkedHashMap(call.body)
         fields["model"] = JsonPrimitive(version.id.toString())
-        if (call.streamed) fields["stream_options"] = INCLUDE_USAGE
+        if (call.streamed) {
+            fields["stream_options"] = INCLUDE_USAGE
+            // A replayed answer is the same one only if the engine draws the same random numbers.
+            fields.putIfAbsent("seed", JsonPrimitive(exchange.requestId.hashCode()))
+        }
         val headers =
             RequestHeaders
                 .builder(HttpMethod.POST, call.path)
                 .contentType(MediaType.JSON)
                 .set(REQUEST_ID, exchange.requestId.value)
                 .set(ORGANISATION, exchange.organisation.id.value)
-                .build()
-        return HttpRequest.of(headers, HttpData.ofUtf8(JsonObject(fields).toString()))
+        if (exchange.resumeAfter > 0) headers.setLong(RESUME_AFTER, exchange.resumeAfter)
+        return HttpRequest.of(headers.build(), HttpData.ofUtf8(JsonObject(fields).toString()))
     }
 
     private fun serviceRequest(
@@ -128,6 +152,8 @@
             return badStatus(exchange, response.status())
         }
         recordServed(exchange)
+        exchange.attempt.recordFirstToken(clock.nanos())
+        exchange.attempt.recordEnd(AttemptResult.SUCCEEDED)
         val contentType = response.contentType() ?: MediaType.OCTET_STREAM
         return Answer.Whole(response.status(), contentType, response.content())
     }
@@ -137,6 +163,13 @@
         response: HttpResponse,
     ): CompletableFuture<Answer> {
         val split = response.split()
+        val silence =
+            exchange.eventLoop.schedule(
+                { response.abort(EndpointSilentException()) },
+                firstByteDeadline.inWholeNanoseconds,
+                TimeUnit.NANOSECONDS,
+            )
+        split.headers().whenComplete { _, _ -> silence.cancel(false) }
         return split.headers().handle { headers, cause ->
             if (cause != null) failure(exchange, cause) else streamAnswer(exchange, headers, split)
         }
@@ -153,7 +186,8 @@
         }
         recordServed(exchange)
         val events = split.body().decode(ServerSentEventDecoder())
-        return Answer.Streamed(AnswerFrames(exchange.journal).of(events))
+        val resumedAfter = headers.getLong(RESUMED_AFTER, 0)
+        return Answer.Streamed(AnswerFrames(exchange.journal, resumedAfter).of(events))
     }
 
     private fun recordServed(exchange: Exchange): Unit =
@@ -166,8 +200,13 @@
         val cause = if (failure is CompletionException) failure.cause ?: failure else failure
         return when (cause) {
             is UnprocessedRequestException -> {
-                val refusal = Refusal(ResultCode.ENDPOINT_UNREACHABLE, "${cause.cause?.message}", Outcome.NOT_RUN)
-                Answer.Refused(refusal)
+                if (cause.cause is ConnectException) exchange.journal.recordUnsent()
+                bad(exchange, ResultCode.ENDPOINT_UNREACHABLE, "${cause.cause?.message}")
+            }
+
+            is EndpointSilentException -> {
+                exchange.attempt.connection?.closeIfSilent(firstByteDeadline, clock)
+                bad(exchange, ResultCode.ENDPOINT_SILENT, "the endpoint sent nothing in time")
             }
 
             is ResponseTimeoutException -> {
@@ -183,13 +222,18 @@
     private fun badStatus(
         exchange: Exchange,
         status: HttpStatus,
-    ): Answer = bad(exchange, ResultCode.ENDPOINT_FAILED, "the endpoint answered $status")
+    ): Answer {
+        if (status in OVERLOAD_STATUSES) exchange.attempt.recordEnd(AttemptResult.OVERLOADED)
+        return bad(exchange, ResultCode.ENDPOINT_FAILED, "the endpoint answered $status")
+    }
 
     private fun bad(
         exchange: Exchange,
         code: ResultCode,
         detail: String,
     ): Answer {
+        val result = if (exchange.journal.hasEnded) AttemptResult.ABANDONED else AttemptResult.FAILED
+        exchange.attempt.recordEnd(result)
         LogEvent.ENDPOINT_ANSWER_BAD.log(logger) {
             "request=${exchange.requestId} endpoint=${exchange.endpoint.id} detail=$detail"
         }
@@ -200,7 +244,10 @@
         exchange: Exchange,
         code: ResultCode,
         detail: String,
-    ): CompletableFuture<Answer> = Answer.Refused(Refusal(code, detail, exchange.journal.errorOutcome())).completed()
+    ): CompletableFuture<Answer> {
+        exchange.attempt.recordEnd(AttemptResult.ABANDONED)
+        return Answer.Refused(Refusal(code, detail, exchange.journal.errorOutcome())).completed()
+    }
 
     private fun parse(text: String): JsonObject? =
         try {
@@ -213,6 +260,13 @@
         const val REQUEST_ID = "x-request-id"
         const val ORGANISATION = "x-organisation"
         const val IDEMPOTENCY_KEY = "idempotency-key"
+
+        /** Sequence number of the last frame the caller has; an engine that can resume begins behind it. */
+        const val RESUME_AFTER = "x-resume-after"
+
+        /** The engine's word that its answer begins behind this sequence number. */
+        const val RESUMED_AFTER = "x-resumed-after"
+        val OVERLOAD_STATUSES = setOf(HttpStatus.TOO_MANY_REQUESTS, HttpStatus.SERVICE_UNAVAILABLE)
         val INCLUDE_USAGE = JsonObject(mapOf("include_usage" to JsonPrimitive(true)))
     }
 }
--- a/router/src/main/kotlin/dev/almondhaven/router/endpoint/EndpointClients.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/endpoint/EndpointClients.kt
@@ -7,19 +7,19 @@
 import io.netty.channel.EventLoopGroup
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.seconds
 
 /** HTTP clients of the endpoints, one for each address, on the event loops that serve the callers. */
 public class EndpointClients(
     workers: EventLoopGroup,
-    connectTimeout: Duration = DEFAULT_CONNECT_TIMEOUT,
+    connectTimeout: Duration,
+    pingInterval: Duration,
 ) : AutoCloseable {
     private val factory =
         ClientFactory
             .builder()
             .workerGroup(workers, false)
             .connectTimeoutMillis(connectTimeout.inWholeMilliseconds)
-            .pingIntervalMillis(PING_INTERVAL.inWholeMilliseconds)
+            .pingIntervalMillis(pingInterval.inWholeMilliseconds)
             .build()
     private val clients = ConcurrentHashMap<String, WebClient>()
 
@@ -38,8 +38,6 @@
     }
 
     public companion object {
-        private val DEFAULT_CONNECT_TIMEOUT = 1.seconds
-        private val PING_INTERVAL = 10.seconds
         private const val MAXIMUM_ANSWER_BYTES = 64_000_000L
 
         /** Event loops for callers and endpoints together. */
--- a/router/src/main/kotlin/dev/almondhaven/router/filter/EndpointChoiceFilter.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/filter/EndpointChoiceFilter.kt
@@ -1,49 +1,123 @@
 package dev.almondhaven.router.filter
 
-import dev.almondhaven.catalogue.Endpoint
-import dev.almondhaven.model.EndpointId
-import dev.almondhaven.model.FailureDomainId
+import com.google.common.hash.Hashing
+import dev.almondhaven.decision.endpoint.EndpointChoice
+import dev.almondhaven.decision.endpoint.EndpointChooser
+import dev.almondhaven.decision.endpoint.EndpointPool
+import dev.almondhaven.decision.endpoint.EndpointRequest
+import dev.almondhaven.decision.endpoint.EndpointState
+import dev.almondhaven.model.LogEvent
+import dev.almondhaven.model.NanoClock
 import dev.almondhaven.model.Refusal
 import dev.almondhaven.model.ResultCode
-import dev.almondhaven.router.controller.CatalogueHolder
+import dev.almondhaven.router.endpoint.EndpointDirectory
+import dev.almondhaven.router.endpoint.PoolKey
+import io.github.oshai.kotlinlogging.KotlinLogging
+import org.apache.commons.rng.UniformRandomProvider
+import org.apache.commons.rng.simple.RandomSource
+import org.apache.commons.rng.simple.ThreadLocalRandomSource
 import java.util.concurrent.CompletableFuture
-import java.util.concurrent.ConcurrentHashMap
-import java.util.concurrent.atomic.AtomicInteger
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.nanoseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** Chooses the endpoint with the fewest own requests in flight, the own failure domain first. */
+private val logger = KotlinLogging.logger {}
+
+/** Chooses the endpoint for an attempt, takes a slot there, and gives it back when the attempt has ended. */
 internal class EndpointChoiceFilter(
-    private val holder: CatalogueHolder,
-    private val failureDomain: FailureDomainId,
+    private val directory: EndpointDirectory,
+    private val clock: NanoClock,
+    private val chooser: EndpointChooser = EndpointChooser(),
 ) : RequestFilter {
-    private val inFlight = ConcurrentHashMap<EndpointId, AtomicInteger>()
-
     override fun handle(
         exchange: Exchange,
         next: RequestHandler,
     ): CompletableFuture<Answer> {
-        val chosen = candidates(exchange).minWithOrNull(compareBy({ it.failureDomain != failureDomain }, { load(it) }))
-        if (chosen == null) {
-            val refusal = Refusal.notRun(ResultCode.NO_ENDPOINT, "no endpoint in service", RETRY_AFTER)
-            return Answer.Refused(refusal).completed()
+        val key = poolKey(exchange) ?: return refuse(exchange, ResultCode.NO_ENDPOINT, "no version is chosen")
+        val pool = directory.poolOrNull(key)
+        if (pool != null && !pool.isEmpty) return choose(exchange, pool, next)
+        return directory.refreshed().thenCompose {
+            choose(exchange, directory.poolOrNull(key) ?: EndpointPool.EMPTY, next)
         }
-        val counter = counter(chosen)
-        counter.incrementAndGet()
-        exchange.journal.whenEnded { counter.decrementAndGet() }
-        return next.handle(exchange.with(chosen))
     }
 
-    private fun candidates(exchange: Exchange): List<Endpoint> =
+    private fun poolKey(exchange: Exchange): PoolKey? =
         when (val call = exchange.call) {
-            is Call.Service -> holder.index.endpoints(call.service)
-            else -> exchange.version?.let { holder.index.endpoints(it.id) }.orEmpty()
+            is Call.Service -> PoolKey.Service(call.service)
+            else -> exchange.version?.let { PoolKey.Version(it.id) }
         }
 
-    private fun load(endpoint: Endpoint): Int = counter(endpoint).get()
+    private fun choose(
+        exchange: Exchange,
+        pool: EndpointPool,
+        next: RequestHandler,
+    ): CompletableFuture<Answer> {
+        val request = EndpointRequest(affinityKey(exchange), exchange.avoided)
+        return when (val choice = chooser.choose(pool, request, clock.nanos(), random())) {
+            is EndpointChoice.Chosen -> send(exchange, choice.state, next)
+            EndpointChoice.AllBusy -> refuse(exchange, ResultCode.OVERLOADED, "every endpoint is at its limit")
+            EndpointChoice.NoneLeft -> refuse(exchange, ResultCode.NO_ENDPOINT, "no endpoint in service")
+        }
+    }
 
-    private fun counter(endpoint: Endpoint): AtomicInteger = inFlight.computeIfAbsent(endpoint.id) { AtomicInteger() }
+    private fun send(
+        exchange: Exchange,
+        state: EndpointState,
+        next: RequestHandler,
+    ): CompletableFuture<Answer> {
+        val startedAt = clock.nanos()
+        exchange.attempt.recordEndpoint(state.endpoint)
+        exchange.attempt.whenEnded { result -> ended(exchange, state, result, startedAt) }
+        return next.handle(exchange.with(state.endpoint))
+    }
+
+    private fun ended(
+        exchange: Exchange,
+        state: EndpointState,
+        result: AttemptResult,
+        startedAt: Long,
+    ) {
+        state.release()
+        when (result) {
+            AttemptResult.SUCCEEDED -> state.health.recordSuccess()
+            AttemptResult.FAILED -> recordFailure(state)
+            AttemptResult.OVERLOADED, AttemptResult.ABANDONED -> Unit
+        }
+        val firstToken = exchange.attempt.firstTokenAt
+        val latency = if (firstToken == 0L) null else (firstToken - startedAt).nanoseconds
+        directory.recordAttempt(state.endpoint.id, result, latency)
+    }
+
+    private fun recordFailure(state: EndpointState) {
+        if (state.health.recordFailure(clock.nanos(), random())) {
+            LogEvent.ENDPOINT_EJECTED.log(logger) { "endpoint=${state.endpoint.id}" }
+        }
+    }
+
+    private fun affinityKey(exchange: Exchange): Long? {
+        val call = exchange.call as? Call.Model ?: return null
+        val session = exchange.headers.get(SESSION)
+        if (session != null) return hash(exchange.organisation.id.value + session)
+        val prompt = call.body["messages"] ?: call.body["prompt"] ?: return null
+        return hash(exchange.organisation.id.value + prompt.toString().take(PREFIX_CHARACTERS))
+    }
+
+    private fun hash(text: String): Long = Hashing.farmHashFingerprint64().hashUnencodedChars(text).asLong()
+
+    private fun refuse(
+        exchange: Exchange,
+        code: ResultCode,
+        detail: String,
+    ): CompletableFuture<Answer> =
+        Answer.Refused(Refusal(code, detail, exchange.journal.errorOutcome(), RETRY_AFTER)).completed()
+
+    private fun random(): UniformRandomProvider = ThreadLocalRandomSource.current(RandomSource.SPLIT_MIX_64)
 
     private companion object {
-        val RETRY_AFTER = 1.seconds
+        val RETRY_AFTER: Duration = 1.seconds
+        const val SESSION = "x-session-id"
+
+        /** Characters of the prompt that requests with the same cached prefix share. */
+        const val PREFIX_CHARACTERS = 512
     }
 }
--- a/router/src/main/kotlin/dev/almondhaven/router/filter/Exchange.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/filter/Exchange.kt
@@ -6,6 +6,7 @@
 import dev.almondhaven.catalogue.Endpoint
 import dev.almondhaven.catalogue.ModelVersion
 import dev.almondhaven.catalogue.Organisation
+import dev.almondhaven.model.EndpointId
 import dev.almondhaven.model.RequestId
 import io.netty.channel.EventLoop
 
@@ -16,6 +17,9 @@
  *
  * @property arrivedAt monotonic nanoseconds.
  * @property deadline monotonic nanoseconds after which the answer is worthless.
+ * @property attempt the try that this copy belongs to.
+ * @property avoided endpoints that earlier attempts have tried.
+ * @property resumeAfter sequence number of the last frame that the caller already has.
  */
 public data class Exchange(
     public val requestId: RequestId,
@@ -29,6 +33,9 @@
     private val parsedCall: Call? = null,
     private val chosenVersion: ModelVersion? = null,
     private val chosenEndpoint: Endpoint? = null,
+    public val attempt: Attempt = Attempt(),
+    public val avoided: Set<EndpointId> = emptySet(),
+    public val resumeAfter: Long = 0,
 ) {
     public val method: HttpMethod get() = headers.method()
 
@@ -54,4 +61,10 @@
     public fun with(version: ModelVersion): Exchange = copy(chosenVersion = version)
 
     public fun with(endpoint: Endpoint): Exchange = copy(chosenEndpoint = endpoint)
+
+    /** A copy for a new attempt, which is not to use what earlier attempts used. */
+    internal fun retrying(
+        avoided: Set<EndpointId>,
+        resumeAfter: Long,
+    ): Exchange = copy(attempt = Attempt(), avoided = avoided, resumeAfter = resumeAfter)
 }
--- a/router/src/main/kotlin/dev/almondhaven/router/filter/RequestJournal.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/filter/RequestJournal.kt
@@ -6,6 +6,7 @@
 import dev.almondhaven.model.Outcome
 import dev.almondhaven.model.Refusal
 import java.util.concurrent.CompletableFuture
+import java.util.concurrent.atomic.AtomicInteger
 
 /** Tokens that an answer cost. */
 public data class Usage(
@@ -21,10 +22,10 @@
 
 /** What has happened to a request so far, over all its attempts. Safe to use from any thread. */
 public class RequestJournal {
-    /** Whether a byte of the request may have reached an endpoint. */
-    @Volatile
-    public var dispatched: Boolean = false
-        private set
+    private val possiblyRun = AtomicInteger()
+
+    /** Whether a byte of any attempt of the request may have reached an endpoint. */
+    public val dispatched: Boolean get() = possiblyRun.get() > 0
 
     /** The version that gave the answer the caller gets. */
     @Volatile
@@ -41,9 +42,15 @@
     public var usage: Usage? = null
         private set
 
-    /** Notes that bytes of the request are about to be sent to an endpoint. */
+    /** Notes that bytes of an attempt are about to be sent to an endpoint. */
     public fun recordDispatch() {
-        dispatched = true
+        possiblyRun.incrementAndGet()
+    }
+
+    /** Takes one [recordDispatch] back: the connection failed before any byte of that attempt was written. */
+    public fun recordUnsent() {
+        val left = possiblyRun.decrementAndGet()
+        check(left >= 0) { "more attempts taken back than dispatched: $left" }
     }
 
     /** Notes who gives the answer. */
@@ -96,6 +103,9 @@
 
     private val ended = CompletableFuture<Unit>()
 
+    /** Whether the request has ended. */
+    public val hasEnded: Boolean get() = ended.isDone
+
     /** Runs [action] once the request has ended: its answer is written whole, or failed, or the caller has left. */
     public fun whenEnded(action: () -> Unit) {
         ended.thenRun { action() }
--- a/router/src/main/kotlin/dev/almondhaven/router/settings/RouterSettings.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/settings/RouterSettings.kt
@@ -66,6 +66,7 @@
     public val process: ProcessSettings,
     public val platform: PlatformSettings,
     public val requests: RequestSettings = RequestSettings(),
+    public val endpoints: EndpointSettings = EndpointSettings(),
 ) {
     /** Everything that is wrong with the values themselves. */
     internal fun problems(): List<Problem> =
@@ -82,6 +83,7 @@
             addAll(positive("platform.callTimeout", platform.callTimeout))
             addAll(positive("platform.watchWait", platform.watchWait))
             addAll(positive("requests.requestTimeout", requests.requestTimeout))
+            addAll(endpoints.problems())
         }
 
     private fun positive(
--- a/router/src/test/kotlin/dev/almondhaven/router/TestDeployment.kt
+++ b/router/src/test/kotlin/dev/almondhaven/router/TestDeployment.kt
@@ -35,6 +35,7 @@
 import dev.almondhaven.platform.ConfigurationStore
 import dev.almondhaven.platform.InMemoryObjectStore
 import dev.almondhaven.platform.Publisher
+import dev.almondhaven.router.settings.EndpointSettings
 import dev.almondhaven.router.settings.PlatformSettings
 import dev.almondhaven.router.settings.ProcessSettings
 import dev.almondhaven.router.settings.RouterSettings
@@ -47,16 +48,21 @@
 /** One router before one engine and one service, all in this process, talking real HTTP on loopback. */
 internal class TestDeployment(
     behaviour: EngineBehaviour = EngineBehaviour(),
+    moreEngines: Int = 0,
+    endpointSettings: EndpointSettings = EndpointSettings(),
 ) : AutoCloseable {
     val objects = InMemoryObjectStore()
     val engine = EngineStandIn(behaviour)
     val service = ServiceStandIn()
+    val moreEngines = List(moreEngines) { EngineStandIn(behaviour) }
+    private val moreEngineServers = this.moreEngines.map { more -> StandInServer.start { more.addTo(it) } }
     private val engineServer = StandInServer.start { engine.addTo(it) }
     private val serviceServer = StandInServer.start { service.addTo(it) }
     private val settings =
         RouterSettings(
             ProcessSettings(FailureDomainId("west"), "127.0.0.1:0"),
             PlatformSettings("http://127.0.0.1:1"),
+            endpoints = endpointSettings,
         )
     val router = Router.start(settings, objects)
     val client: WebClient = WebClient.of("http://127.0.0.1:${router.port}")
@@ -135,10 +141,28 @@
                                 serviceServer.hostAndPort,
                                 service = ServiceId("orders"),
                             ),
-                        ),
+                        ) +
+                            moreEngineServers.mapIndexed {
+                                number,
+                                server,
+                                ->
+                                engine("engine$number", server.hostAndPort)
+                            },
                 ),
         )
 
+    /** An endpoint of the only version. */
+    fun engine(
+        id: String,
+        address: String,
+    ): Endpoint =
+        Endpoint(
+            EndpointId(id),
+            FailureDomainId("west"),
+            address,
+            listOf(ModelVersionId.parse("slate@1")),
+        )
+
     fun send(
         body: String,
         path: String = "/v1/chat/completions",
@@ -157,6 +181,7 @@
     override fun close() {
         router.close()
         engineServer.close()
+        moreEngineServers.forEach { it.close() }
         serviceServer.close()
     }
 
--- a/stand-ins/src/main/kotlin/dev/almondhaven/standins/EngineBehaviour.kt
+++ b/stand-ins/src/main/kotlin/dev/almondhaven/standins/EngineBehaviour.kt
@@ -18,6 +18,9 @@
 
     /** Accepts the request and never answers. */
     SILENT,
+
+    /** Falls silent in the middle of the answer. */
+    SILENT_MIDWAY,
 }
 
 /**
@@ -26,10 +29,12 @@
  * @property timeToFirstToken delay before the first token.
  * @property betweenTokens delay between tokens.
  * @property tokens tokens generated when the request sets no `max_tokens`.
+ * @property resumes whether the engine honours `x-resume-after`; it then answers with `x-resumed-after`.
  */
 public data class EngineBehaviour(
     public val timeToFirstToken: Duration = 0.milliseconds,
     public val betweenTokens: Duration = 0.milliseconds,
     public val tokens: Int = 8,
     public val fault: EngineFault = EngineFault.NONE,
+    public val resumes: Boolean = true,
 )
--- a/stand-ins/src/main/kotlin/dev/almondhaven/standins/EngineStandIn.kt
+++ b/stand-ins/src/main/kotlin/dev/almondhaven/standins/EngineStandIn.kt
@@ -37,12 +37,28 @@
     private val slots: Int = DEFAULT_SLOTS,
 ) {
     private val startId = AtomicLong(System.nanoTime())
+
+    @Volatile
+    private var startedAt = System.nanoTime()
     private val running = AtomicInteger()
+    private val cancelled = AtomicInteger()
     private val recorded = ConcurrentLinkedQueue<EngineRecord>()
 
     /** Requests seen so far. */
     public val records: List<EngineRecord> get() = recorded.toList()
 
+    /** Streamed answers that the caller cancelled. */
+    public val cancellations: Int get() = cancelled.get()
+
+    /** Requests that run now. */
+    public val runningNow: Int get() = running.get()
+
+    /** Behaves as after a restart: a new start id and an empty cache. */
+    public fun restart() {
+        startedAt = System.nanoTime()
+        startId.incrementAndGet()
+    }
+
     /** Adds the engine's paths to [builder]. */
     public fun addTo(builder: ServerBuilder) {
         builder.service("/v1/chat/completions", HttpService { context, request -> complete(context, request) })
@@ -56,6 +72,7 @@
         val body =
             buildJsonObject {
                 put("startId", JsonPrimitive(startId.get()))
+                put("uptimeMillis", JsonPrimitive((System.nanoTime() - startedAt) / NANOS_PER_MILLI))
                 put("running", JsonPrimitive(running.get()))
                 put("slots", JsonPrimitive(slots))
             }
@@ -85,7 +102,8 @@
                         System.currentTimeMillis(),
                         finished = true,
                     )
-                answer(context, body, record)
+                val resumeAfter = if (behaviour.resumes) headers.getInt("x-resume-after", 0) else 0
+                answer(context, body, record, resumeAfter)
             },
         )
 
@@ -93,14 +111,27 @@
         context: ServiceRequestContext,
         body: JsonObject,
         record: EngineRecord,
+        resumeAfter: Int,
     ): HttpResponse {
         val now = behaviour
         val tokens = body["max_tokens"]?.jsonPrimitive?.intOrNull ?: now.tokens
         val streamed = body["stream"]?.jsonPrimitive?.booleanOrNull == true
         return when (now.fault) {
-            EngineFault.ERROR -> HttpResponse.of(HttpStatus.INTERNAL_SERVER_ERROR)
-            EngineFault.SILENT -> HttpResponse.streaming()
-            else -> if (streamed) stream(context, now, record, tokens) else whole(context, now, record, tokens)
+            EngineFault.ERROR -> {
+                HttpResponse.of(HttpStatus.INTERNAL_SERVER_ERROR)
+            }
+
+            EngineFault.SILENT -> {
+                HttpResponse.streaming()
+            }
+
+            else -> {
+                if (streamed) {
+                    stream(context, now, record, tokens, resumeAfter)
+                } else {
+                    whole(context, now, record, tokens)
+                }
+            }
         }
     }
 
@@ -126,14 +157,20 @@
         now: EngineBehaviour,
         record: EngineRecord,
         tokens: Int,
+        resumeAfter: Int,
     ): HttpResponse {
         recorded += record
         running.incrementAndGet()
         val response = HttpResponse.streaming()
-        response.whenComplete().handle { _, _ -> running.decrementAndGet() }
-        response.write(ResponseHeaders.of(HttpStatus.OK, HttpHeaderNames.CONTENT_TYPE, "text/event-stream"))
-        val lastToken = if (now.fault == EngineFault.HALF_ANSWER) tokens / 2 else tokens
-        val generation = Generating(context, response, now, record.model, tokens, lastToken)
+        response.whenComplete().handle { _, cause ->
+            running.decrementAndGet()
+            if (cause != null) cancelled.incrementAndGet()
+        }
+        val headers = ResponseHeaders.builder(HttpStatus.OK).set(HttpHeaderNames.CONTENT_TYPE, "text/event-stream")
+        if (resumeAfter > 0) headers.setInt("x-resumed-after", resumeAfter)
+        response.write(headers.build())
+        val lastToken = if (now.fault in HALFWAY_FAULTS) tokens / 2 else tokens
+        val generation = Generating(context, response, now, record.model, tokens, lastToken, resumeAfter)
         context.eventLoop().schedule(
             { generation.next() },
             now.timeToFirstToken.inWholeMilliseconds,
@@ -149,9 +186,8 @@
         private val model: String,
         private val tokens: Int,
         private val lastToken: Int,
+        private var sent: Int,
     ) {
-        private var sent = 0
-
         fun next() {
             while (sent < lastToken) {
                 sent++
@@ -170,6 +206,7 @@
         }
 
         private fun finish() {
+            if (now.fault == EngineFault.SILENT_MIDWAY) return
             if (lastToken == tokens) {
                 response.tryWrite(HttpData.ofUtf8("id: ${sent + 1}\ndata: ${chunk(model, "", usage(tokens))}\n\n"))
                 response.tryWrite(HttpData.ofUtf8("data: [DONE]\n\n"))
@@ -223,5 +260,7 @@
     private companion object {
         const val DEFAULT_SLOTS = 16
         const val PROMPT_TOKENS = 16
+        const val NANOS_PER_MILLI = 1_000_000L
+        val HALFWAY_FAULTS = setOf(EngineFault.HALF_ANSWER, EngineFault.SILENT_MIDWAY)
     }
 }
--- a/stand-ins/src/main/kotlin/dev/almondhaven/standins/ServiceStandIn.kt
+++ b/stand-ins/src/main/kotlin/dev/almondhaven/standins/ServiceStandIn.kt
@@ -16,6 +16,7 @@
  * A small stand-in for an order or booking service: answers any call with its own count of it and records every run.
  */
 public class ServiceStandIn {
+    private val startedAt = System.currentTimeMillis()
     private val recorded = ConcurrentLinkedQueue<EngineRecord>()
 
     /** Calls that ran so far. */
@@ -24,9 +25,21 @@
     /** Adds the service's paths to [builder]. */
     public fun addTo(builder: ServerBuilder) {
         builder.service("/records", HttpService { _, _ -> recordsAnswer() })
+        builder.service("/engine/status", HttpService { _, _ -> status() })
         builder.service("prefix:/", HttpService { _, request -> run(request) })
     }
 
+    private fun status(): HttpResponse {
+        val body =
+            buildJsonObject {
+                put("startId", JsonPrimitive(startedAt))
+                put("uptimeMillis", JsonPrimitive(System.currentTimeMillis() - startedAt))
+                put("running", JsonPrimitive(0))
+                put("slots", JsonPrimitive(SLOTS))
+            }
+        return HttpResponse.of(HttpStatus.OK, MediaType.JSON, body.toString())
+    }
+
     private fun run(request: HttpRequest): HttpResponse =
         HttpResponse.of(
             request.aggregate().thenApply { aggregated ->
@@ -50,4 +63,8 @@
             MediaType.JSON,
             Json.encodeToString(ListSerializer(EngineRecord.serializer()), records),
         )
+
+    private companion object {
+        const val SLOTS = 16
+    }
 }
