Queue fairly, hold organisations to their limits over the fleet

Cause: beyond the endpoints' limits every request was refused, and an organisation's limits held nowhere. Change: start-time fair queueing on a duty thread before the endpoint choice with early refusal; concurrency and token rate by pooled shares; priorities go on to engines. Conclusion: RouterPathTest and ServingPathTest pass.

--- a/router/src/main/kotlin/dev/almondhaven/router/Router.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/Router.kt
@@ -20,6 +20,7 @@
 import dev.almondhaven.router.endpoint.EndpointClients
 import dev.almondhaven.router.endpoint.EndpointDirectory
 import dev.almondhaven.router.endpoint.LoadReportPoller
+import dev.almondhaven.router.endpoint.WaitingRoom
 import dev.almondhaven.router.filter.AdmissionFilter
 import dev.almondhaven.router.filter.EndpointChoiceFilter
 import dev.almondhaven.router.filter.IdentifyFilter
@@ -29,6 +30,7 @@
 import dev.almondhaven.router.filter.RequestHandler
 import dev.almondhaven.router.filter.RetryFilter
 import dev.almondhaven.router.filter.filterChain
+import dev.almondhaven.router.limit.UsageLimiter
 import dev.almondhaven.router.settings.RouterSettings
 import io.github.oshai.kotlinlogging.KotlinLogging
 import java.net.InetSocketAddress
@@ -59,6 +61,8 @@
     private val clients = EndpointClients(workers, settings.endpoints.connectTimeout, settings.endpoints.pingInterval)
     private val fleet = fleetView()
     private val directory = EndpointDirectory(holder, fleet, clock)
+    private val waitingRoom = WaitingRoom(clock)
+    private val limiter = UsageLimiter(holder, fleet, clock)
     private val loadReports = LoadReportPoller(directory, clients, clock, settings.endpoints.statusInterval)
     private val watcher = ConfigurationWatcher(objects, holder, settings.platform.watchWait)
     private val server = buildServer()
@@ -90,10 +94,10 @@
                 IdentifyFilter(holder),
                 ParseFilter(holder),
                 ModelListFilter(holder),
-                AdmissionFilter(settings.requests.inFlight),
+                AdmissionFilter(settings.requests.inFlight, limiter),
                 ModelChoiceFilter(holder),
                 RetryFilter(settings.endpoints, clock),
-                EndpointChoiceFilter(directory, clock),
+                EndpointChoiceFilter(directory, waitingRoom, clock),
             ),
             Dispatcher(holder, clients, clock, settings.endpoints.firstByteDeadline),
         )
@@ -128,6 +132,8 @@
         server.stop().join()
         watcher.close()
         loadReports.close()
+        waitingRoom.close()
+        limiter.close()
         directory.close()
         clients.close()
         workers.shutdownGracefully(0, 0, TimeUnit.SECONDS)
--- a/router/src/main/kotlin/dev/almondhaven/router/endpoint/Dispatcher.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/endpoint/Dispatcher.kt
@@ -16,6 +16,7 @@
 import com.linecorp.armeria.common.ResponseHeaders
 import com.linecorp.armeria.common.SplitHttpResponse
 import com.linecorp.armeria.common.logging.RequestLogProperty
+import dev.almondhaven.decision.limit.Priority
 import dev.almondhaven.model.LogEvent
 import dev.almondhaven.model.NanoClock
 import dev.almondhaven.model.Refusal
@@ -26,6 +27,7 @@
 import dev.almondhaven.router.filter.Call
 import dev.almondhaven.router.filter.Exchange
 import dev.almondhaven.router.filter.RequestHandler
+import dev.almondhaven.router.filter.RequestPriority
 import dev.almondhaven.router.filter.completed
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.serialization.SerializationException
@@ -101,6 +103,10 @@
         val version = checkNotNull(exchange.version) { "no version chosen: ${exchange.requestId}" }
         val fields = LinkedHashMap(call.body)
         fields["model"] = JsonPrimitive(version.id.toString())
+        RequestPriority.of(exchange).takeIf { it != Priority.NORMAL }?.let {
+            fields["priority"] =
+                JsonPrimitive(it.engineValue)
+        }
         if (call.streamed) {
             fields["stream_options"] = INCLUDE_USAGE
             // A replayed answer is the same one only if the engine draws the same random numbers.
--- a/router/src/main/kotlin/dev/almondhaven/router/filter/EndpointChoiceFilter.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/filter/EndpointChoiceFilter.kt
@@ -6,12 +6,16 @@
 import dev.almondhaven.decision.endpoint.EndpointPool
 import dev.almondhaven.decision.endpoint.EndpointRequest
 import dev.almondhaven.decision.endpoint.EndpointState
+import dev.almondhaven.decision.limit.QueuedRequest
 import dev.almondhaven.model.LogEvent
 import dev.almondhaven.model.NanoClock
 import dev.almondhaven.model.Refusal
 import dev.almondhaven.model.ResultCode
 import dev.almondhaven.router.endpoint.EndpointDirectory
 import dev.almondhaven.router.endpoint.PoolKey
+import dev.almondhaven.router.endpoint.Turn
+import dev.almondhaven.router.endpoint.Waiter
+import dev.almondhaven.router.endpoint.WaitingRoom
 import io.github.oshai.kotlinlogging.KotlinLogging
 import org.apache.commons.rng.UniformRandomProvider
 import org.apache.commons.rng.simple.RandomSource
@@ -26,19 +30,19 @@
 /** Chooses the endpoint for an attempt, takes a slot there, and gives it back when the attempt has ended. */
 internal class EndpointChoiceFilter(
     private val directory: EndpointDirectory,
+    private val waitingRoom: WaitingRoom,
     private val clock: NanoClock,
     private val chooser: EndpointChooser = EndpointChooser(),
 ) : RequestFilter {
+    private val usualRun = SmoothedNanos()
+
     override fun handle(
         exchange: Exchange,
         next: RequestHandler,
     ): CompletableFuture<Answer> {
         val key = poolKey(exchange) ?: return refuse(exchange, ResultCode.NO_ENDPOINT, "no version is chosen")
-        val pool = directory.poolOrNull(key)
-        if (pool != null && !pool.isEmpty) return choose(exchange, pool, next)
-        return directory.refreshed().thenCompose {
-            choose(exchange, directory.poolOrNull(key) ?: EndpointPool.EMPTY, next)
-        }
+        if (directory.poolOrNull(key)?.isEmpty == false) return choose(exchange, key, next)
+        return directory.refreshed().thenComposeAsync({ choose(exchange, key, next) }, exchange.eventLoop)
     }
 
     private fun poolKey(exchange: Exchange): PoolKey? =
@@ -49,35 +53,96 @@
 
     private fun choose(
         exchange: Exchange,
-        pool: EndpointPool,
+        key: PoolKey,
         next: RequestHandler,
     ): CompletableFuture<Answer> {
         val request = EndpointRequest(affinityKey(exchange), exchange.avoided)
-        return when (val choice = chooser.choose(pool, request, clock.nanos(), random())) {
-            is EndpointChoice.Chosen -> send(exchange, choice.state, next)
+        val newcomer = exchange.avoided.isEmpty()
+        // Who comes while others wait joins the queue, or a free slot would go to whoever asks first.
+        if (newcomer && waitingRoom.waiting(key) > 0) return await(exchange, key, request, next)
+        val choice = choiceFor(key, request)
+        if (choice is EndpointChoice.AllBusy) return await(exchange, key, request, next)
+        return follow(exchange, key, choice, next)
+    }
+
+    private fun choiceFor(
+        key: PoolKey,
+        request: EndpointRequest,
+    ): EndpointChoice =
+        chooser.choose(directory.poolOrNull(key) ?: EndpointPool.EMPTY, request, clock.nanos(), random())
+
+    private fun await(
+        exchange: Exchange,
+        key: PoolKey,
+        request: EndpointRequest,
+        next: RequestHandler,
+    ): CompletableFuture<Answer> {
+        val waiter = Waiter({ choiceFor(key, request) }, { exchange.journal.hasEnded })
+        return waitingRoom.enter(key, queued(exchange, waiter)).thenComposeAsync({ turn ->
+            when (turn) {
+                is Turn.Served -> {
+                    follow(exchange, key, turn.choice, next)
+                }
+
+                is Turn.Refused -> {
+                    refuse(
+                        exchange,
+                        ResultCode.OVERLOADED,
+                        "no endpoint has room in time",
+                        turn.retryAfter,
+                    )
+                }
+            }
+        }, exchange.eventLoop)
+    }
+
+    private fun queued(
+        exchange: Exchange,
+        waiter: Waiter,
+    ): QueuedRequest<Waiter> =
+        QueuedRequest(
+            waiter,
+            exchange.organisation.id,
+            exchange.organisation.share,
+            cost = 1.0 + exchange.body.length() / CHARACTERS_PER_COST,
+            latestStart = exchange.deadline - usualRun.nanos,
+            RequestPriority.of(exchange),
+        )
+
+    private fun follow(
+        exchange: Exchange,
+        key: PoolKey,
+        choice: EndpointChoice,
+        next: RequestHandler,
+    ): CompletableFuture<Answer> =
+        when (choice) {
+            is EndpointChoice.Chosen -> send(exchange, key, choice.state, next)
             EndpointChoice.AllBusy -> refuse(exchange, ResultCode.OVERLOADED, "every endpoint is at its limit")
             EndpointChoice.NoneLeft -> refuse(exchange, ResultCode.NO_ENDPOINT, "no endpoint in service")
         }
-    }
 
     private fun send(
         exchange: Exchange,
+        key: PoolKey,
         state: EndpointState,
         next: RequestHandler,
     ): CompletableFuture<Answer> {
         val startedAt = clock.nanos()
         exchange.attempt.recordEndpoint(state.endpoint)
-        exchange.attempt.whenEnded { result -> ended(exchange, state, result, startedAt) }
+        exchange.attempt.whenEnded { result -> ended(exchange, key, state, result, startedAt) }
         return next.handle(exchange.with(state.endpoint))
     }
 
     private fun ended(
         exchange: Exchange,
+        key: PoolKey,
         state: EndpointState,
         result: AttemptResult,
         startedAt: Long,
     ) {
         state.release()
+        waitingRoom.slotFree(key)
+        if (result == AttemptResult.SUCCEEDED) usualRun.record(clock.nanos() - startedAt)
         when (result) {
             AttemptResult.SUCCEEDED -> state.health.recordSuccess()
             AttemptResult.FAILED -> recordFailure(state)
@@ -108,13 +173,15 @@
         exchange: Exchange,
         code: ResultCode,
         detail: String,
+        retryAfter: Duration = RETRY_AFTER,
     ): CompletableFuture<Answer> =
-        Answer.Refused(Refusal(code, detail, exchange.journal.errorOutcome(), RETRY_AFTER)).completed()
+        Answer.Refused(Refusal(code, detail, exchange.journal.errorOutcome(), retryAfter)).completed()
 
     private fun random(): UniformRandomProvider = ThreadLocalRandomSource.current(RandomSource.SPLIT_MIX_64)
 
     private companion object {
         val RETRY_AFTER: Duration = 1.seconds
+        const val CHARACTERS_PER_COST = 4_000.0
         const val SESSION = "x-session-id"
 
         /** Characters of the prompt that requests with the same cached prefix share. */
