--- a/decision/src/main/kotlin/dev/almondhaven/decision/endpoint/EndpointLimiter.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/endpoint/EndpointLimiter.kt
@@ -18,6 +18,8 @@
     private val latency = LatencyTracker()
     private val settled = SettledShare(state.endpoint.id.value, self)
     private var startedAt: Long? = null
+    private var suspectedAt: Long? = null
+    private var returnedAt: Long? = null
     private var reportless = false
 
     /** Takes a load report that describes the endpoint at [takenAt]; true when it turned cold by it. */
@@ -28,6 +30,7 @@
         val previous = state.report
         if (!state.accept(report, takenAt)) return false
         reportless = false
+        suspectedAt = null
         adaptive.setMaximum(state.slots * WARM_QUEUE_FACTOR)
         val restarted = previous == null || previous.startId != report.startId
         if (!restarted) return false
@@ -56,7 +59,12 @@
 
     /** Notes that connections to the endpoint broke: until a report says otherwise it counts as restarted. */
     public fun recordConnectionLost(now: Long) {
-        if (!reportless) startedAt = now
+        if (!reportless) suspectedAt = now
+    }
+
+    /** Notes that the endpoint's failure domain came back in service at [since]; it is ramped whatever it reports. */
+    public fun recordDomainReturned(since: Long) {
+        returnedAt = since
     }
 
     /** Sets the limit for [now]; [sharers] are the routers that may send to the endpoint while it is cold. */
@@ -70,8 +78,9 @@
     }
 
     private fun coldLimit(now: Long): Int? {
-        if (reportless) return null
-        val start = startedAt ?: return ramp.initialLimit
+        if (reportless && returnedAt == null) return null
+        if (!reportless && startedAt == null) return ramp.initialLimit
+        val start = listOfNotNull(startedAt, suspectedAt, returnedAt).max()
         return ramp.fleetLimit(state.slots, (now - start).nanoseconds)
     }
 
--- a/router/src/main/kotlin/dev/almondhaven/router/Router.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/Router.kt
@@ -7,11 +7,9 @@
 import com.linecorp.armeria.server.Server
 import com.linecorp.armeria.server.healthcheck.HealthCheckService
 import com.linecorp.armeria.server.healthcheck.HealthChecker
-import dev.almondhaven.decision.membership.FleetView
 import dev.almondhaven.decision.membership.Member
 import dev.almondhaven.model.LogEvent
 import dev.almondhaven.model.NanoClock
-import dev.almondhaven.model.RouterId
 import dev.almondhaven.platform.HttpObjectStore
 import dev.almondhaven.platform.ObjectStore
 import dev.almondhaven.router.controller.CatalogueHolder
@@ -31,11 +29,11 @@
 import dev.almondhaven.router.filter.RetryFilter
 import dev.almondhaven.router.filter.filterChain
 import dev.almondhaven.router.limit.UsageLimiter
+import dev.almondhaven.router.peer.PeerNetwork
 import dev.almondhaven.router.settings.RouterSettings
+import dev.almondhaven.router.settings.socketAddress
 import io.github.oshai.kotlinlogging.KotlinLogging
-import java.net.InetSocketAddress
 import java.net.URI
-import java.util.UUID
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -59,10 +57,10 @@
     private val holder = CatalogueHolder()
     private val workers = EndpointClients.newWorkers(Runtime.getRuntime().availableProcessors())
     private val clients = EndpointClients(workers, settings.endpoints.connectTimeout, settings.endpoints.pingInterval)
-    private val fleet = fleetView()
-    private val directory = EndpointDirectory(holder, fleet, clock)
+    private val peers = PeerNetwork.open(settings.peers, settings.process.failureDomain)
+    private val directory = EndpointDirectory(holder, peers.view, clock)
     private val waitingRoom = WaitingRoom(clock)
-    private val limiter = UsageLimiter(holder, fleet, clock)
+    private val limiter = UsageLimiter(holder, peers.view, clock)
     private val loadReports = LoadReportPoller(directory, clients, clock, settings.endpoints.statusInterval)
     private val watcher = ConfigurationWatcher(objects, holder, settings.platform.watchWait)
     private val server = buildServer()
@@ -73,21 +71,20 @@
     /** Port for callers. */
     public val port: Int get() = server.activeLocalPort()
 
+    /** This router as its peers know it. */
+    public val self: Member get() = peers.self
+
     private fun start() {
         metrics.gauge("almondhaven_configuration_generation", "Generation in force on this router.") {
             holder.index.generation.value
                 .toDouble()
         }
+        peers.topics.register(limiter.gossip)
         watcher.start()
         server.start().join()
         LogEvent.ROUTER_STARTED.log(logger) { "port=$port domain=${settings.process.failureDomain}" }
     }
 
-    private fun fleetView(): FleetView {
-        val id = RouterId(UUID.randomUUID().toString())
-        return FleetView.alone(Member(id, settings.process.failureDomain, settings.process.listen))
-    }
-
     private fun chain(): RequestHandler =
         filterChain(
             listOf(
@@ -120,11 +117,6 @@
     private fun metricsResponse(): HttpResponse =
         HttpResponse.of(HttpStatus.OK, MediaType.PLAIN_TEXT_UTF_8, metrics.text())
 
-    private fun socketAddress(hostAndPort: String): InetSocketAddress {
-        val host = hostAndPort.substringBeforeLast(':').trim('[', ']')
-        return InetSocketAddress(host, hostAndPort.substringAfterLast(':').toInt())
-    }
-
     /** Fails readiness, lets running requests finish within the drain deadline, and stops. */
     override fun close() {
         LogEvent.ROUTER_STOPPING.log(logger)
@@ -135,6 +127,7 @@
         waitingRoom.close()
         limiter.close()
         directory.close()
+        peers.close()
         clients.close()
         workers.shutdownGracefully(0, 0, TimeUnit.SECONDS)
         LogEvent.ROUTER_STOPPED.log(logger)
--- a/router/src/main/kotlin/dev/almondhaven/router/endpoint/AnswerRelay.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/endpoint/AnswerRelay.kt
@@ -186,7 +186,7 @@
 
         private fun fail(refusal: Refusal) {
             if (stopped) return
-            stop(AttemptResult.FAILED)
+            stop(if (refusal.code == ResultCode.ANSWER_CUT) AttemptResult.CONNECTION_LOST else AttemptResult.FAILED)
             if (!ended) failed(exchange, refusal)
         }
 
--- a/router/src/main/kotlin/dev/almondhaven/router/endpoint/Dispatcher.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/endpoint/Dispatcher.kt
@@ -5,6 +5,7 @@
 import com.linecorp.armeria.client.ResponseTimeoutException
 import com.linecorp.armeria.client.UnprocessedRequestException
 import com.linecorp.armeria.common.AggregatedHttpResponse
+import com.linecorp.armeria.common.ClosedSessionException
 import com.linecorp.armeria.common.HttpData
 import com.linecorp.armeria.common.HttpMethod
 import com.linecorp.armeria.common.HttpRequest
@@ -65,6 +66,9 @@
         if (version != null && !holder.index.mayRun(exchange.organisation.id, version.id)) {
             return refused(exchange, ResultCode.UNKNOWN_MODEL, "${version.id} is no longer allowed")
         }
+        if (!holder.index.takesNewWork(exchange.endpoint.id)) {
+            return refused(exchange, ResultCode.NO_ENDPOINT, "endpoint ${exchange.endpoint.id} takes no new work")
+        }
         val options = RequestOptions.builder().responseTimeoutMillis(remaining.inWholeMilliseconds).build()
         val request = requestFor(exchange)
         exchange.journal.recordDispatch()
@@ -204,6 +208,8 @@
         failure: Throwable,
     ): Answer {
         val cause = if (failure is CompletionException) failure.cause ?: failure else failure
+        val lost = cause is UnprocessedRequestException || cause is ClosedSessionException
+        if (lost && !exchange.journal.hasEnded) exchange.attempt.recordEnd(AttemptResult.CONNECTION_LOST)
         return when (cause) {
             is UnprocessedRequestException -> {
                 if (cause.cause is ConnectException) exchange.journal.recordUnsent()
@@ -238,8 +244,7 @@
         code: ResultCode,
         detail: String,
     ): Answer {
-        val result = if (exchange.journal.hasEnded) AttemptResult.ABANDONED else AttemptResult.FAILED
-        exchange.attempt.recordEnd(result)
+        exchange.attempt.recordEnd(if (exchange.journal.hasEnded) AttemptResult.ABANDONED else AttemptResult.FAILED)
         LogEvent.ENDPOINT_ANSWER_BAD.log(logger) {
             "request=${exchange.requestId} endpoint=${exchange.endpoint.id} detail=$detail"
         }
--- a/router/src/main/kotlin/dev/almondhaven/router/endpoint/EndpointDirectory.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/endpoint/EndpointDirectory.kt
@@ -12,6 +12,7 @@
 import dev.almondhaven.decision.membership.FleetView
 import dev.almondhaven.decision.membership.Member
 import dev.almondhaven.model.EndpointId
+import dev.almondhaven.model.FailureDomainId
 import dev.almondhaven.model.LogEvent
 import dev.almondhaven.model.ModelVersionId
 import dev.almondhaven.model.NanoClock
@@ -51,6 +52,7 @@
     private val clock: NanoClock,
     private val ramp: ColdRamp = ColdRamp(),
     private val subset: RouterSubset = RouterSubset(),
+    private val epochMillis: () -> Long = System::currentTimeMillis,
 ) : AutoCloseable {
     private sealed interface Message {
         data class Reported(
@@ -82,6 +84,7 @@
 
     private val known = HashMap<EndpointId, Known>()
     private val groups = HashMap<PoolKey, EjectionGroup>()
+    private val returns = HashMap<FailureDomainId, Long>()
     private var builtFor: CatalogueIndex? = null
     private var builtWith: List<Member> = emptyList()
 
@@ -166,6 +169,7 @@
         when (message.result) {
             AttemptResult.SUCCEEDED -> succeeded(endpoint, message, now)
             AttemptResult.OVERLOADED -> endpoint.limiter.recordOverload(now)
+            AttemptResult.CONNECTION_LOST -> endpoint.limiter.recordConnectionLost(now)
             AttemptResult.FAILED, AttemptResult.ABANDONED -> Unit
         }
     }
@@ -201,6 +205,7 @@
         val served = keys.associateWith { endpointsOf(index, it) }
         forgetAllBut(served.values.flatten().associateBy { it.id })
         served.forEach { (key, endpoints) -> learn(key, endpoints, members) }
+        rampReturned(index)
         pools = served.mapValues { (_, endpoints) -> poolOf(endpoints) }
         polled =
             pools.values
@@ -211,6 +216,19 @@
         builtWith = members
     }
 
+    /** Ramps the endpoints of failure domains whose return this router hasn't seen yet. */
+    private fun rampReturned(index: CatalogueIndex) {
+        known.values.forEach { endpoint ->
+            val domain = index.failureDomain(endpoint.state.endpoint.failureDomain) ?: return@forEach
+            if (domain.returnedAt == 0L || returns.put(domain.id, domain.returnedAt) == domain.returnedAt) return@forEach
+            val sinceReturn = maxOf(0, epochMillis() - domain.returnedAt).milliseconds
+            val at = clock.nanos() - sinceReturn.inWholeNanoseconds
+            known.values
+                .filter { it.state.endpoint.failureDomain == domain.id }
+                .forEach { it.limiter.recordDomainReturned(at) }
+        }
+    }
+
     private fun keysOf(index: CatalogueIndex): List<PoolKey> =
         index.catalogue.models.map { PoolKey.Version(it.id) } + index.catalogue.services.map { PoolKey.Service(it.id) }
 
--- a/router/src/main/kotlin/dev/almondhaven/router/filter/Attempt.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/filter/Attempt.kt
@@ -9,9 +9,12 @@
     /** The endpoint answered whole. */
     SUCCEEDED,
 
-    /** The endpoint couldn't be reached, failed, or fell silent. */
+    /** The endpoint failed or fell silent. */
     FAILED,
 
+    /** No connection could be opened, or it closed under the attempt: the endpoint may have restarted. */
+    CONNECTION_LOST,
+
     /** The endpoint answered that it has too much to do. */
     OVERLOADED,
 
--- a/router/src/main/kotlin/dev/almondhaven/router/filter/EndpointChoiceFilter.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/filter/EndpointChoiceFilter.kt
@@ -145,7 +145,7 @@
         if (result == AttemptResult.SUCCEEDED) usualRun.record(clock.nanos() - startedAt)
         when (result) {
             AttemptResult.SUCCEEDED -> state.health.recordSuccess()
-            AttemptResult.FAILED -> recordFailure(state)
+            AttemptResult.FAILED, AttemptResult.CONNECTION_LOST -> recordFailure(state)
             AttemptResult.OVERLOADED, AttemptResult.ABANDONED -> Unit
         }
         val firstToken = exchange.attempt.firstTokenAt
--- a/router/src/main/kotlin/dev/almondhaven/router/filter/Exchange.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/filter/Exchange.kt
@@ -7,6 +7,7 @@
 import dev.almondhaven.catalogue.ModelVersion
 import dev.almondhaven.catalogue.Organisation
 import dev.almondhaven.model.EndpointId
+import dev.almondhaven.model.ModelVersionId
 import dev.almondhaven.model.RequestId
 import io.netty.channel.EventLoop
 
@@ -20,6 +21,7 @@
  * @property attempt the try that this copy belongs to.
  * @property avoided endpoints that earlier attempts have tried.
  * @property resumeAfter sequence number of the last frame that the caller already has.
+ * @property pinnedVersion the only version that the request's session may run on; null when the choice is free.
  */
 public data class Exchange(
     public val requestId: RequestId,
@@ -29,6 +31,7 @@
     public val deadline: Long,
     public val eventLoop: EventLoop,
     public val journal: RequestJournal = RequestJournal(),
+    public val pinnedVersion: ModelVersionId? = null,
     private val identifiedOrganisation: Organisation? = null,
     private val parsedCall: Call? = null,
     private val chosenVersion: ModelVersion? = null,
@@ -60,6 +63,8 @@
 
     public fun with(version: ModelVersion): Exchange = copy(chosenVersion = version)
 
+    public fun pinnedTo(version: ModelVersionId): Exchange = copy(pinnedVersion = version)
+
     public fun with(endpoint: Endpoint): Exchange = copy(chosenEndpoint = endpoint)
 
     /** A copy for a new attempt, which is not to use what earlier attempts used. */
