--- a/router/src/main/kotlin/dev/almondhaven/router/endpoint/EndpointDirectory.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/endpoint/EndpointDirectory.kt
@@ -220,7 +220,11 @@
     private fun rampReturned(index: CatalogueIndex) {
         known.values.forEach { endpoint ->
             val domain = index.failureDomain(endpoint.state.endpoint.failureDomain) ?: return@forEach
-            if (domain.returnedAt == 0L || returns.put(domain.id, domain.returnedAt) == domain.returnedAt) return@forEach
+            if (domain.returnedAt == 0L ||
+                returns.put(domain.id, domain.returnedAt) == domain.returnedAt
+            ) {
+                return@forEach
+            }
             val sinceReturn = maxOf(0, epochMillis() - domain.returnedAt).milliseconds
             val at = clock.nanos() - sinceReturn.inWholeNanoseconds
             known.values
