--- a/decision/src/main/kotlin/dev/almondhaven/decision/endpoint/EndpointLimiter.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/endpoint/EndpointLimiter.kt
@@ -50,7 +50,10 @@
     ): Boolean {
         adaptive.recordSuccess()
         val collapsed = latency.record(firstToken) && !state.cold && !queueing()
-        if (collapsed) startedAt = now
+        if (collapsed) {
+            startedAt = now
+            state.cold = true
+        }
         return collapsed
     }
 
--- a/decision/src/main/kotlin/dev/almondhaven/decision/limit/FairQueue.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/limit/FairQueue.kt
@@ -161,8 +161,10 @@
     val perSecond: Double? get() = if (polls < SETTLING_POLLS) null else 1.0 / maxOf(interval, SHORTEST_INTERVAL)
 
     fun recordPoll(now: Long) {
-        val since = lastPoll?.let { (now - it).nanoseconds } ?: Duration.ZERO
+        val previous = lastPoll
         lastPoll = now
+        if (previous == null) return
+        val since = (now - previous).nanoseconds
         // A pause of the queue says nothing about how fast it is served.
         if (since > LONGEST_INTERVAL) return
         polls++
--- a/model/src/main/kotlin/dev/almondhaven/model/LogEvent.kt
+++ b/model/src/main/kotlin/dev/almondhaven/model/LogEvent.kt
@@ -40,6 +40,11 @@
     ENDPOINT_EJECTED(4002, Level.WARN, "An endpoint failed repeatedly and gets no requests for a while."),
     ENDPOINT_COLD(4003, Level.INFO, "An endpoint is cold; it is ramped from a small limit."),
     ANSWER_RESUMED(4004, Level.INFO, "A streamed answer goes on at another endpoint."),
+
+    CLAIM_WRITE_UNSETTLED(5001, Level.WARN, "A read or write of claims failed; it is tried again."),
+    CLAIM_OPERATION_DROPPED(5002, Level.WARN, "Too many claim operations wait; one was not taken."),
+    CLAIM_OUTCOME_UNKNOWN(5003, Level.WARN, "A non-idempotent call got an error whose outcome is unknown."),
+    CLAIM_SHARDS_DELETED(5004, Level.INFO, "Claims from before the retention window were deleted."),
     ;
 
     /** Logs this event to [logger] with [detail], which ought to be `name=value` pairs. */
--- a/router/src/main/kotlin/dev/almondhaven/router/Router.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/Router.kt
@@ -12,6 +12,8 @@
 import dev.almondhaven.model.NanoClock
 import dev.almondhaven.platform.HttpObjectStore
 import dev.almondhaven.platform.ObjectStore
+import dev.almondhaven.router.claim.Claims
+import dev.almondhaven.router.claim.RepeatOutcomeFilter
 import dev.almondhaven.router.controller.CatalogueHolder
 import dev.almondhaven.router.controller.ConfigurationWatcher
 import dev.almondhaven.router.endpoint.Dispatcher
@@ -63,6 +65,7 @@
     private val limiter = UsageLimiter(holder, peers.view, clock)
     private val loadReports = LoadReportPoller(directory, clients, clock, settings.endpoints.statusInterval)
     private val watcher = ConfigurationWatcher(objects, holder, settings.platform.watchWait)
+    private val claims = Claims(settings.claims, objects, clock, peers)
     private val server = buildServer()
 
     @Volatile
@@ -88,15 +91,17 @@
     private fun chain(): RequestHandler =
         filterChain(
             listOf(
+                RepeatOutcomeFilter,
                 IdentifyFilter(holder),
                 ParseFilter(holder),
                 ModelListFilter(holder),
                 AdmissionFilter(settings.requests.inFlight, limiter),
+                claims.filter,
                 ModelChoiceFilter(holder),
                 RetryFilter(settings.endpoints, clock),
                 EndpointChoiceFilter(directory, waitingRoom, clock),
             ),
-            Dispatcher(holder, clients, clock, settings.endpoints.firstByteDeadline),
+            Dispatcher(holder, clients, clock, settings.endpoints.firstByteDeadline, settings.claims.runLimit),
         )
 
     private fun buildServer(): Server =
@@ -122,6 +127,7 @@
         LogEvent.ROUTER_STOPPING.log(logger)
         draining = true
         server.stop().join()
+        claims.close()
         watcher.close()
         loadReports.close()
         waitingRoom.close()
--- a/router/src/main/kotlin/dev/almondhaven/router/endpoint/Dispatcher.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/endpoint/Dispatcher.kt
@@ -40,6 +40,7 @@
 import java.util.concurrent.CompletionException
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.nanoseconds
 
 private val logger = KotlinLogging.logger {}
@@ -56,6 +57,7 @@
     private val clients: EndpointClients,
     private val clock: NanoClock,
     private val firstByteDeadline: Duration,
+    private val nonIdempotentLimit: Duration = DEFAULT_RUN_LIMIT,
 ) : RequestHandler {
     override fun handle(exchange: Exchange): CompletableFuture<Answer> {
         val remaining = (exchange.deadline - clock.nanos()).nanoseconds
@@ -69,7 +71,13 @@
         if (!holder.index.takesNewWork(exchange.endpoint.id)) {
             return refused(exchange, ResultCode.NO_ENDPOINT, "endpoint ${exchange.endpoint.id} takes no new work")
         }
-        val options = RequestOptions.builder().responseTimeoutMillis(remaining.inWholeMilliseconds).build()
+        val gate = exchange.dispatchGate
+        // A non-idempotent call runs to its end, so that its outcome can be recorded, also when its caller has left.
+        val limit = if (gate == null) remaining else maxOf(remaining, nonIdempotentLimit)
+        val options = RequestOptions.builder().responseTimeoutMillis(limit.inWholeMilliseconds).build()
+        if (gate != null && !gate.tryPass()) {
+            return refused(exchange, ResultCode.CLAIM_BOUND_PASSED, "the claim may no longer be dispatched")
+        }
         val request = requestFor(exchange)
         exchange.journal.recordDispatch()
         val response = execute(exchange, request, options)
@@ -212,7 +220,12 @@
         if (lost && !exchange.journal.hasEnded) exchange.attempt.recordEnd(AttemptResult.CONNECTION_LOST)
         return when (cause) {
             is UnprocessedRequestException -> {
-                if (cause.cause is ConnectException) exchange.journal.recordUnsent()
+                // Other causes, such as a failed write, don't prove that no byte was sent.
+                if (cause.cause !is ConnectException) {
+                    return bad(exchange, ResultCode.ENDPOINT_FAILED, "the connection failed: ${cause.cause?.message}")
+                }
+                exchange.journal.recordUnsent()
+                exchange.dispatchGate?.notSent()
                 bad(exchange, ResultCode.ENDPOINT_UNREACHABLE, "${cause.cause?.message}")
             }
 
@@ -268,6 +281,7 @@
         }
 
     private companion object {
+        val DEFAULT_RUN_LIMIT = 5.minutes
         const val REQUEST_ID = "x-request-id"
         const val ORGANISATION = "x-organisation"
         const val IDEMPOTENCY_KEY = "idempotency-key"
--- a/router/src/main/kotlin/dev/almondhaven/router/filter/Exchange.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/filter/Exchange.kt
@@ -39,6 +39,7 @@
     public val attempt: Attempt = Attempt(),
     public val avoided: Set<EndpointId> = emptySet(),
     public val resumeAfter: Long = 0,
+    private val gate: DispatchGate? = null,
 ) {
     public val method: HttpMethod get() = headers.method()
 
@@ -57,6 +58,9 @@
     /** The endpoint; set by the endpoint choice. */
     public val endpoint: Endpoint get() = checkNotNull(chosenEndpoint) { "no endpoint chosen: $requestId" }
 
+    /** Decides about the dispatch of a non-idempotent call; null for calls that may be repeated. */
+    public val dispatchGate: DispatchGate? get() = gate
+
     public fun with(organisation: Organisation): Exchange = copy(identifiedOrganisation = organisation)
 
     public fun with(call: Call): Exchange = copy(parsedCall = call)
@@ -72,4 +76,6 @@
         avoided: Set<EndpointId>,
         resumeAfter: Long,
     ): Exchange = copy(attempt = Attempt(), avoided = avoided, resumeAfter = resumeAfter)
+
+    public fun with(dispatchGate: DispatchGate): Exchange = copy(gate = dispatchGate)
 }
--- a/router/src/main/kotlin/dev/almondhaven/router/settings/RouterSettings.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/settings/RouterSettings.kt
@@ -67,6 +67,7 @@
     public val platform: PlatformSettings,
     public val requests: RequestSettings = RequestSettings(),
     public val endpoints: EndpointSettings = EndpointSettings(),
+    public val claims: ClaimSettings = ClaimSettings(),
     public val peers: PeerSettings? = null,
 ) {
     /** Everything that is wrong with the values themselves. */
@@ -83,6 +84,10 @@
             if (requests.inFlight <= 0) add(Problem("requests.inFlight", "${requests.inFlight}", "1 or more"))
             addAll(positive("platform.callTimeout", platform.callTimeout))
             addAll(positive("platform.watchWait", platform.watchWait))
+            addAll(positive("claims.writeInterval", claims.writeInterval))
+            addAll(positive("claims.dispatchBound", claims.dispatchBound))
+            addAll(positive("claims.runLimit", claims.runLimit))
+            addAll(positive("claims.relayTimeout", claims.relayTimeout))
             addAll(positive("requests.requestTimeout", requests.requestTimeout))
             addAll(endpoints.problems())
             peers?.let { addAll(it.problems()) }
