--- a/router/src/main/kotlin/dev/almondhaven/router/AnswerWriter.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/AnswerWriter.kt
@@ -11,6 +11,8 @@
 import dev.almondhaven.router.filter.Answer
 import dev.almondhaven.router.filter.AnswerFrame
 import dev.almondhaven.router.filter.Exchange
+import kotlin.math.ceil
+import kotlin.time.DurationUnit
 
 /** Writes an [Answer] as an HTTP response. */
 internal object AnswerWriter {
@@ -55,7 +57,9 @@
     ): HttpResponse {
         val builder = headersBuilder(exchange, HttpStatus.valueOf(refusal.code.status), MediaType.JSON)
         builder.set(HttpHeaderNames.of("x-almondhaven-outcome"), refusal.outcome.wireName)
-        refusal.retryAfter?.let { builder.set(HttpHeaderNames.RETRY_AFTER, "${maxOf(1, it.inWholeSeconds)}") }
+        refusal.retryAfter?.let {
+            builder.set(HttpHeaderNames.RETRY_AFTER, "${maxOf(1, ceil(it.toDouble(DurationUnit.SECONDS)).toLong())}")
+        }
         return HttpResponse.of(builder.build(), HttpData.ofUtf8(errorText(exchange, refusal)))
     }
 
--- a/router/src/main/kotlin/dev/almondhaven/router/Router.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/Router.kt
@@ -18,6 +18,9 @@
 import dev.almondhaven.router.controller.ConfigurationWatcher
 import dev.almondhaven.router.endpoint.Dispatcher
 import dev.almondhaven.router.endpoint.EndpointClients
+import dev.almondhaven.router.endpoint.EndpointDirectory
+import dev.almondhaven.router.endpoint.LoadReportPoller
+import dev.almondhaven.router.endpoint.WaitingRoom
 import dev.almondhaven.router.filter.AdmissionFilter
 import dev.almondhaven.router.filter.DomainServiceFilter
 import dev.almondhaven.router.filter.EndpointChoiceFilter
@@ -25,7 +28,9 @@
 import dev.almondhaven.router.filter.ModelListFilter
 import dev.almondhaven.router.filter.ParseFilter
 import dev.almondhaven.router.filter.RequestHandler
+import dev.almondhaven.router.filter.RetryFilter
 import dev.almondhaven.router.filter.filterChain
+import dev.almondhaven.router.limit.UsageLimiter
 import dev.almondhaven.router.peer.PeerNetwork
 import dev.almondhaven.router.session.Sessions
 import dev.almondhaven.router.settings.RouterSettings
@@ -54,9 +59,13 @@
     private val metrics = RouterMetrics()
     private val holder = CatalogueHolder()
     private val workers = EndpointClients.newWorkers(Runtime.getRuntime().availableProcessors())
-    private val clients = EndpointClients(workers)
+    private val clients = EndpointClients(workers, settings.endpoints.connectTimeout, settings.endpoints.pingInterval)
     private val peers = PeerNetwork.open(settings.peers, settings.process.failureDomain)
     private val sessions = Sessions(settings.sessions, peers)
+    private val directory = EndpointDirectory(holder, peers.view, clock)
+    private val waitingRoom = WaitingRoom(clock)
+    private val limiter = UsageLimiter(holder, peers.view, clock)
+    private val loadReports = LoadReportPoller(directory, clients, clock, settings.endpoints.statusInterval)
     private val watcher = ConfigurationWatcher(objects, holder, settings.platform.watchWait)
     private val claims = Claims(settings.claims, objects, clock, peers)
     private val choice =
@@ -80,6 +89,7 @@
         metrics.gauge("almondhaven_sessions_remembered", "Sessions known by their id that this router remembers.") {
             sessions.remembered.toDouble()
         }
+        peers.topics.register(limiter.gossip)
         watcher.start()
         choice.topics.forEach { peers.topics.register(it) }
         choice.start()
@@ -96,12 +106,20 @@
                 ParseFilter(holder),
                 ModelListFilter(holder),
                 sessions.filter(holder),
-                AdmissionFilter(settings.requests.inFlight),
+                AdmissionFilter(settings.requests.inFlight, limiter),
                 claims.filter,
                 choice.filter(),
-                EndpointChoiceFilter(holder, settings.process.failureDomain),
+                RetryFilter(settings.endpoints, clock),
+                EndpointChoiceFilter(directory, waitingRoom, clock),
+            ),
+            Dispatcher(
+                holder,
+                choice.policy,
+                clients,
+                clock,
+                settings.endpoints.firstByteDeadline,
+                settings.claims.runLimit,
             ),
-            Dispatcher(holder, choice.policy, clients, clock, settings.claims.runLimit),
         )
 
     private fun buildServer(): Server =
@@ -132,6 +150,10 @@
         server.stop().join()
         claims.close()
         watcher.close()
+        loadReports.close()
+        waitingRoom.close()
+        limiter.close()
+        directory.close()
         peers.close()
         choice.close()
         clients.close()
--- a/router/src/main/kotlin/dev/almondhaven/router/settings/RouterSettings.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/settings/RouterSettings.kt
@@ -67,6 +67,7 @@
     public val platform: PlatformSettings,
     public val requests: RequestSettings = RequestSettings(),
     public val sessions: SessionSettings = SessionSettings(),
+    public val endpoints: EndpointSettings = EndpointSettings(),
     public val claims: ClaimSettings = ClaimSettings(),
     public val peers: PeerSettings? = null,
     public val choice: ChoiceSettings = ChoiceSettings(),
@@ -92,6 +93,7 @@
             addAll(positive("claims.relayTimeout", claims.relayTimeout))
             addAll(positive("requests.requestTimeout", requests.requestTimeout))
             addAll(sessions.problems())
+            addAll(endpoints.problems())
             peers?.let { addAll(it.problems()) }
         }
 
