--- a/router/src/main/kotlin/dev/almondhaven/router/Router.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/Router.kt
@@ -7,6 +7,7 @@
 import com.linecorp.armeria.server.Server
 import com.linecorp.armeria.server.healthcheck.HealthCheckService
 import com.linecorp.armeria.server.healthcheck.HealthChecker
+import dev.almondhaven.decision.distribution.ConfigurationFreshness
 import dev.almondhaven.decision.membership.Member
 import dev.almondhaven.model.LogEvent
 import dev.almondhaven.model.NanoClock
@@ -17,6 +18,7 @@
 import dev.almondhaven.router.endpoint.Dispatcher
 import dev.almondhaven.router.endpoint.EndpointClients
 import dev.almondhaven.router.filter.AdmissionFilter
+import dev.almondhaven.router.filter.ConfigurationAgeFilter
 import dev.almondhaven.router.filter.EndpointChoiceFilter
 import dev.almondhaven.router.filter.IdentifyFilter
 import dev.almondhaven.router.filter.ModelChoiceFilter
@@ -24,10 +26,15 @@
 import dev.almondhaven.router.filter.ParseFilter
 import dev.almondhaven.router.filter.RequestHandler
 import dev.almondhaven.router.filter.filterChain
+import dev.almondhaven.router.peer.PeerController
 import dev.almondhaven.router.peer.PeerNetwork
+import dev.almondhaven.router.peer.StatusReporter
+import dev.almondhaven.router.settings.PeerSettings
 import dev.almondhaven.router.settings.RouterSettings
 import dev.almondhaven.router.settings.socketAddress
 import io.github.oshai.kotlinlogging.KotlinLogging
+import org.apache.commons.rng.UniformRandomProvider
+import org.apache.commons.rng.simple.RandomSource
 import java.net.URI
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
@@ -50,10 +57,15 @@
     private val clock = NanoClock.SYSTEM
     private val metrics = RouterMetrics()
     private val holder = CatalogueHolder()
+    private val staleAfter = settings.peers?.staleAfter ?: PeerSettings.DEFAULT_STALE_AFTER
+    private val freshness = ConfigurationFreshness(staleAfter, clock.nanos())
     private val workers = EndpointClients.newWorkers(Runtime.getRuntime().availableProcessors())
     private val clients = EndpointClients(workers)
     private val peers = PeerNetwork.open(settings.peers, settings.process.failureDomain)
-    private val watcher = ConfigurationWatcher(objects, holder, settings.platform.watchWait)
+    private val peerController = settings.peers?.let { PeerController(peers, it, holder, freshness, clock) }
+    private val watcher =
+        ConfigurationWatcher(objects, holder, freshness, peers.view, settings.platform.watchWait, newRandom())
+    private val status = StatusReporter(peers, holder, freshness, clock, Lifecycle())
     private val server = buildServer()
 
     @Volatile
@@ -65,19 +77,39 @@
     /** This router as its peers know it. */
     public val self: Member get() = peers.self
 
+    private inner class Lifecycle : StatusReporter.Lifecycle {
+        override val ready: Boolean get() = holder.configured && !this@Router.draining
+        override val draining: Boolean get() = this@Router.draining
+        override val platformReachable: Boolean get() = watcher.platformReachable
+    }
+
     private fun start() {
-        metrics.gauge("almondhaven_configuration_generation", "Generation in force on this router.") {
-            holder.index.generation.value
-                .toDouble()
-        }
+        addGauges()
         watcher.start()
         server.start().join()
         LogEvent.ROUTER_STARTED.log(logger) { "port=$port domain=${settings.process.failureDomain}" }
     }
 
+    private fun addGauges() {
+        metrics.gauge("almondhaven_configuration_generation", "Generation in force on this router.") {
+            holder.generation.value.toDouble()
+        }
+        metrics.gauge("almondhaven_configuration_stale_seconds", "Time unconfirmed by the platform; 0 when fresh.") {
+            status.staleSince()?.let { (System.currentTimeMillis() - it) / MILLIS_PER_SECOND } ?: 0.0
+        }
+        metrics.gauge("almondhaven_platform_reachable", "1 if the platform answered the last configuration call.") {
+            if (watcher.platformReachable) 1.0 else 0.0
+        }
+        metrics.gauge("almondhaven_peer_members", "Routers in this router's view, itself included.") {
+            peers.view.members.size
+                .toDouble()
+        }
+    }
+
     private fun chain(): RequestHandler =
         filterChain(
             listOf(
+                ConfigurationAgeFilter({ holder.generation }, status::staleSince),
                 IdentifyFilter(holder),
                 ParseFilter(holder),
                 ModelListFilter(holder),
@@ -98,7 +130,7 @@
             .maxRequestLength(settings.requests.bodyBytes)
             .gracefulShutdownTimeoutMillis(QUIET_PERIOD.inWholeMilliseconds, DRAIN_TIMEOUT.inWholeMilliseconds)
             .service("/health/live", HttpService { _, _ -> HttpResponse.of(HttpStatus.OK) })
-            .service("/health/ready", HealthCheckService.of(HealthChecker { holder.configured && !draining }))
+            .service("/health/ready", HealthCheckService.of(HealthChecker { Lifecycle().ready }))
             .service("/metrics", HttpService { _, _ -> metricsResponse() })
             .service("prefix:/", CallerService(chain(), metrics, settings.requests.requestTimeout, clock))
             .build()
@@ -110,6 +142,7 @@
     override fun close() {
         LogEvent.ROUTER_STOPPING.log(logger)
         draining = true
+        peerController?.close()
         server.stop().join()
         watcher.close()
         peers.close()
@@ -124,6 +157,9 @@
     public companion object {
         private val QUIET_PERIOD: Duration = 50.milliseconds
         private val DRAIN_TIMEOUT: Duration = 30.seconds
+        private const val MILLIS_PER_SECOND = 1_000.0
+
+        private fun newRandom(): UniformRandomProvider = RandomSource.XO_RO_SHI_RO_128_PP.create()
 
         /** Starts a router against the platform that [settings] name. */
         public fun start(settings: RouterSettings): Router =
--- a/router/src/main/kotlin/dev/almondhaven/router/peer/GossipTopics.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/peer/GossipTopics.kt
@@ -1,5 +1,6 @@
 package dev.almondhaven.router.peer
 
+import dev.almondhaven.decision.distribution.GossipSections
 import dev.almondhaven.model.LogEvent
 import dev.almondhaven.model.RouterId
 import io.github.oshai.kotlinlogging.KotlinLogging
@@ -9,7 +10,7 @@
 private val logger = KotlinLogging.logger {}
 
 /** The topics that ride on the membership's messages. They share each message's bytes in turns. */
-public class GossipTopics {
+public class GossipTopics : GossipSections {
     private val topics = CopyOnWriteArrayList<GossipTopic>()
     private var turn = 0
 
@@ -20,7 +21,7 @@
     }
 
     /** Sections for one message, at most [budgetBytes] together; a section that doesn't fit is left out. */
-    internal fun outgoing(budgetBytes: Int): Map<String, JsonElement> {
+    override fun outgoing(budgetBytes: Int): Map<String, JsonElement> {
         if (topics.isEmpty()) return emptyMap()
         var remaining = budgetBytes
         val first = turn++ % topics.size
@@ -36,7 +37,7 @@
         }
     }
 
-    internal fun incoming(
+    override fun incoming(
         from: RouterId,
         sections: Map<String, JsonElement>,
     ) {
--- a/router/src/main/kotlin/dev/almondhaven/router/peer/HttpPeerTransport.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/peer/HttpPeerTransport.kt
@@ -22,7 +22,10 @@
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 
-/** Speaks the peer protocol over HTTP, on an event loop of its own. */
+/**
+ * Speaks the peer protocol over HTTP/1.1, on an event loop of its own. A message that times out closes its connection,
+ * so a connection that has gone silent is not used again.
+ */
 internal class HttpPeerTransport(
     private val keys: PeerKeyRing,
     private val timeout: Duration,
@@ -77,7 +80,7 @@
 
     private fun build(address: String): WebClient =
         WebClient
-            .builder("http://$address")
+            .builder("h1c://$address")
             .factory(factory)
             .responseTimeoutMillis(timeout.inWholeMilliseconds)
             .maxResponseLength(MAXIMUM_ANSWER_BYTES)
--- a/router/src/main/kotlin/dev/almondhaven/router/peer/PeerNetwork.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/peer/PeerNetwork.kt
@@ -30,8 +30,23 @@
 ) : AutoCloseable {
     public val topics: GossipTopics = GossipTopics()
 
-    /** Routers held to be alive. */
-    public val view: FleetView = FleetView.alone(self)
+    private val published = PublishedView(self)
+
+    /** Routers held to be alive; reads the newest view at every call. */
+    public val view: FleetView get() = published
+
+    /** Routers that have stopped answering but are still in the view. */
+    @Volatile
+    internal var suspects: Set<RouterId> = emptySet()
+        private set
+
+    internal fun publish(
+        view: FleetView,
+        suspects: Set<RouterId>,
+    ) {
+        published.current = view
+        this.suspects = suspects
+    }
 
     override fun close() {
         parts.forEach { it.close() }
@@ -69,6 +84,15 @@
     }
 }
 
+private class PublishedView(
+    override val self: Member,
+) : FleetView {
+    @Volatile
+    var current: FleetView = FleetView.alone(self)
+
+    override val members: List<Member> get() = current.members
+}
+
 private object NoTransport : PeerTransport {
     override fun post(
         to: Member,
--- a/router/src/main/kotlin/dev/almondhaven/router/settings/PeerSettings.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/settings/PeerSettings.kt
@@ -25,7 +25,7 @@
     public val seeds: List<String> = emptyList(),
     public val vmList: String? = null,
     @Serializable(with = DurationText::class) public val probeInterval: Duration = 1.seconds,
-    @Serializable(with = DurationText::class) public val staleAfter: Duration = 45.seconds,
+    @Serializable(with = DurationText::class) public val staleAfter: Duration = DEFAULT_STALE_AFTER,
 ) {
     /** Everything that is wrong with the values themselves. */
     internal fun problems(): List<Problem> =
@@ -53,4 +53,8 @@
         val scheme = runCatching { URI(address).scheme }.getOrNull()
         return scheme == "http" || scheme == "https"
     }
+
+    internal companion object {
+        val DEFAULT_STALE_AFTER: Duration = 45.seconds
+    }
 }
--- /dev/null
+++ b/router/src/test/kotlin/dev/almondhaven/router/peer/FleetTest.kt
@@ -0,0 +1,218 @@
+package dev.almondhaven.router.peer
+
+import arrow.core.Either
+import com.linecorp.armeria.client.WebClient
+import com.linecorp.armeria.common.HttpMethod
+import com.linecorp.armeria.common.HttpStatus
+import com.linecorp.armeria.common.RequestHeaders
+import dev.almondhaven.catalogue.Catalogue
+import dev.almondhaven.catalogue.ConfigurationEntry
+import dev.almondhaven.catalogue.FailureDomain
+import dev.almondhaven.catalogue.FailureDomainChanges
+import dev.almondhaven.catalogue.ReleaseNote
+import dev.almondhaven.model.FailureDomainId
+import dev.almondhaven.model.Generation
+import dev.almondhaven.model.NoteId
+import dev.almondhaven.model.RegionId
+import dev.almondhaven.peer.ConfigurationHeld
+import dev.almondhaven.peer.ConfigurationPush
+import dev.almondhaven.peer.PeerKey
+import dev.almondhaven.peer.PeerKeyRing
+import dev.almondhaven.peer.PeerProtocol
+import dev.almondhaven.peer.PeerStatus
+import dev.almondhaven.platform.ConfigurationStore
+import dev.almondhaven.platform.InMemoryObjectStore
+import dev.almondhaven.platform.ObjectStore
+import dev.almondhaven.platform.PlatformError
+import dev.almondhaven.platform.Publisher
+import dev.almondhaven.platform.Revision
+import dev.almondhaven.router.Router
+import dev.almondhaven.router.settings.PeerSettings
+import dev.almondhaven.router.settings.PlatformSettings
+import dev.almondhaven.router.settings.ProcessSettings
+import dev.almondhaven.router.settings.RouterSettings
+import org.junit.jupiter.api.AfterAll
+import org.junit.jupiter.api.MethodOrderer
+import org.junit.jupiter.api.Order
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.TestInstance
+import org.junit.jupiter.api.TestMethodOrder
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNotNull
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Routers on loopback, the second one cut off from the platform from its start. */
+@TestInstance(TestInstance.Lifecycle.PER_CLASS)
+@TestMethodOrder(MethodOrderer.OrderAnnotation::class)
+class FleetTest {
+    private val key = PeerKey("0123456789abcdef")
+    private val ring = PeerKeyRing(listOf(key))
+    private val objects = InMemoryObjectStore()
+    private val first = Router.start(settings("west"), objects)
+    private val cutOff = Router.start(settings("east", listOf(first.self.peerAddress)), Unreachable(objects))
+    private val routers = listOf(first, cutOff)
+
+    private class Unreachable(
+        objects: ObjectStore,
+    ) : ObjectStore by objects {
+        override fun list(
+            prefix: String,
+            after: dev.almondhaven.platform.ObjectKey?,
+            limit: Int,
+        ) = Either.Left(PlatformError.NoAnswer("cut off"))
+
+        override fun watch(
+            prefix: String,
+            after: Revision,
+            wait: Duration,
+        ) = Either.Left(PlatformError.NoAnswer("cut off"))
+    }
+
+    private fun settings(
+        domain: String,
+        seeds: List<String> = emptyList(),
+    ): RouterSettings {
+        val peers = PeerSettings("127.0.0.1:0", listOf(key), seeds, null, 100.milliseconds, 300.milliseconds)
+        return RouterSettings(
+            ProcessSettings(FailureDomainId(domain), "127.0.0.1:0"),
+            PlatformSettings("http://127.0.0.1:1", watchWait = 50.milliseconds),
+            peers = peers,
+        )
+    }
+
+    private fun Router.call(
+        path: String,
+        body: String?,
+    ): String {
+        val fullPath = PeerProtocol.PATH_PREFIX + path
+        val method = if (body == null) HttpMethod.GET else HttpMethod.POST
+        val signature = ring.signRequest(fullPath, body.orEmpty())
+        val headers = RequestHeaders.of(method, fullPath, PeerProtocol.SIGNATURE_HEADER, signature)
+        return WebClient
+            .of("http://${self.peerAddress}")
+            .execute(headers, body.orEmpty())
+            .aggregate()
+            .join()
+            .contentUtf8()
+    }
+
+    private fun Router.status(): PeerStatus =
+        PeerProtocol.json.decodeFromString(PeerStatus.serializer(), call(PeerProtocol.STATUS, body = null))
+
+    private fun eventually(
+        what: String,
+        holds: () -> Boolean,
+    ) {
+        repeat(PATIENCE_STEPS) {
+            if (holds()) return
+            TimeUnit.MILLISECONDS.sleep(STEP_MILLIS)
+        }
+        error("$what did not happen; ${routers.map { it.status() }}")
+    }
+
+    private fun publish(id: String): Generation {
+        val domains = FailureDomainChanges(added = listOf(FailureDomain(FailureDomainId(id), RegionId("wales"))))
+        val entry = ConfigurationEntry.NotePublished(ReleaseNote(NoteId(id), "test", failureDomains = domains))
+        return ConfigurationStore(objects).publish(entry, Publisher("test", 0, "test")).getOrNull()!!
+    }
+
+    @AfterAll
+    fun stop() {
+        cutOff.close()
+        first.close()
+    }
+
+    @Test
+    @Order(1)
+    fun `find each other from one seed`() {
+        val expected = routers.map { it.self.id }.sortedBy { it.value }
+
+        eventually("one view") { routers.all { router -> router.status().members.map { it.id } == expected } }
+    }
+
+    @Test
+    @Order(2)
+    fun `without configuration are not ready`() {
+        expectThat(routers.map { it.status().ready }).isEqualTo(listOf(false, false))
+    }
+
+    @Test
+    @Order(3)
+    fun `bring a published note in force where the platform is out of reach, and know it is confirmed`() {
+        val generation = publish("west")
+        eventually("generation $generation") { routers.all { it.status().generation == generation } }
+
+        val status = cutOff.status()
+        expectThat(status.copy(members = emptyList(), inForceSince = null)).isEqualTo(
+            PeerStatus(
+                cutOff.self.id,
+                FailureDomainId("east"),
+                generation,
+                first.status().digest,
+                platformReachable = false,
+                ready = true,
+            ),
+        )
+    }
+
+    @Test
+    @Order(4)
+    fun `take a pushed catalogue only if it is newer`() {
+        val pushed = Catalogue(Generation(3))
+        val answers =
+            listOf(pushed, Catalogue(Generation(2)), pushed.copy(failureDomains = emptyList())).map { catalogue ->
+                val body =
+                    PeerProtocol.json.encodeToString(
+                        ConfigurationPush.serializer(),
+                        ConfigurationPush(catalogue),
+                    )
+                PeerProtocol.json.decodeFromString(
+                    ConfigurationHeld.serializer(),
+                    cutOff.call(PeerProtocol.CONFIGURATION, body),
+                )
+            }
+
+        expectThat(answers)
+            .isEqualTo(listOf(true, false, false).map { ConfigurationHeld(Generation(3), it) })
+        eventually("generation 3 everywhere") { routers.all { it.status().generation == Generation(3) } }
+    }
+
+    @Test
+    @Order(5)
+    fun `say in status, metrics and answers that the platform does not confirm what is in force`() {
+        eventually("stale") { cutOff.status().staleSince != null }
+        val client = WebClient.of("http://127.0.0.1:${cutOff.port}")
+        val answer = client.get("/v1/models").aggregate().join()
+        val metrics = client.get("/metrics").aggregate().join()
+
+        expectThat(answer.headers().get("x-almondhaven-configuration")?.substringBefore(" since"))
+            .isNotNull()
+            .isEqualTo("3; stale")
+        expectThat("almondhaven_configuration_stale_seconds 0.0" in metrics.contentUtf8()).isEqualTo(false)
+        expectThat(
+            client
+                .get("/health/ready")
+                .aggregate()
+                .join()
+                .status(),
+        ).isEqualTo(HttpStatus.OK)
+    }
+
+    @Test
+    @Order(6)
+    fun `see a router leave that stops`() {
+        val third = Router.start(settings("west", listOf(first.self.peerAddress)), objects)
+        eventually("three members") { routers.all { it.status().members.size == 3 } }
+        third.close()
+
+        eventually("two members") { routers.all { it.status().members.size == 2 } }
+    }
+
+    private companion object {
+        const val PATIENCE_STEPS = 500
+        const val STEP_MILLIS = 20L
+    }
+}
