--- /dev/null
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/distribution/WatchSchedule.kt
@@ -0,0 +1,75 @@
+package dev.almondhaven.decision.distribution
+
+import dev.almondhaven.decision.membership.FleetView
+import org.apache.commons.rng.UniformRandomProvider
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** What a router asks the platform for next. */
+public enum class WatchCall {
+    /** Nothing is due. */
+    NONE,
+
+    /** Read the head. */
+    READ,
+
+    /** Wait for a change of the head after the revision last seen. */
+    WATCH,
+}
+
+/**
+ * When a router calls the platform for the configuration: routers that the [plan] names watch, the others read now and
+ * then. Failures are retried with full jitter, and a budget bounds the calls of one process whatever happens.
+ */
+public class WatchSchedule(
+    private val plan: WatchPlan,
+    random: UniformRandomProvider,
+    now: Long,
+) {
+    private val jitter = FullJitter(FIRST_RETRY, LONGEST_RETRY, random)
+    private val budget = CallBudget(CALLS_PER_SECOND, CALL_BURST, now)
+    private var hasRead = false
+    private var retryAt = now
+    private var pollAt = now
+
+    /** The call to make at [now]; it counts as made. */
+    public fun next(
+        now: Long,
+        view: FleetView,
+    ): WatchCall {
+        val watches = plan.watches(view)
+        val due = now >= retryAt && (watches || now >= pollAt)
+        return when {
+            !due || !budget.take(now) -> WatchCall.NONE
+            watches && hasRead -> WatchCall.WATCH
+            else -> WatchCall.READ
+        }
+    }
+
+    /** The last call was answered; [stale] tells whether the configuration in force is unconfirmed. */
+    public fun succeeded(
+        now: Long,
+        members: Int,
+        stale: Boolean,
+    ) {
+        hasRead = true
+        jitter.succeeded()
+        val interval = if (stale) STALE_POLL else plan.pollInterval(members)
+        pollAt = now + jitter.within(interval * 2).inWholeNanoseconds
+    }
+
+    /** The last call failed, so the head has to be read anew. */
+    public fun failed(now: Long) {
+        hasRead = false
+        retryAt = now + jitter.failed().inWholeNanoseconds
+    }
+
+    private companion object {
+        const val CALLS_PER_SECOND = 2.0
+        const val CALL_BURST = 10
+        val FIRST_RETRY: Duration = 500.milliseconds
+        val LONGEST_RETRY: Duration = 10.seconds
+        val STALE_POLL: Duration = 15.seconds
+    }
+}
--- /dev/null
+++ b/experiments/src/main/kotlin/dev/almondhaven/experiments/distribution/VirtualFleet.kt
@@ -0,0 +1,83 @@
+package dev.almondhaven.experiments.distribution
+
+import dev.almondhaven.decision.distribution.WatchPlan
+import dev.almondhaven.decision.membership.Member
+import dev.almondhaven.model.FailureDomainId
+import dev.almondhaven.model.RouterId
+import org.apache.commons.rng.simple.RandomSource
+import kotlin.time.Duration
+
+/**
+ * Routers' decisions over the real codec in virtual time; one seed gives one schedule.
+ *
+ * ```
+ * val fleet = VirtualFleet(seed = 1)
+ * repeat(5) { fleet.start("west") }
+ * fleet.run(30.seconds)
+ * ```
+ */
+internal class VirtualFleet(
+    seed: Long,
+    private val plan: WatchPlan = WatchPlan(),
+) {
+    val random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed)
+    val scheduler = VirtualScheduler()
+    val network = VirtualNetwork(scheduler, random)
+    val platform = VirtualPlatform(scheduler, random)
+    private val started = mutableListOf<VirtualRouter>()
+
+    /** Routers that haven't been stopped. */
+    val routers: List<VirtualRouter> get() = started.filter { !it.stopped }
+
+    /** Every router there ever was. */
+    val allRouters: List<VirtualRouter> get() = started
+
+    /** Starts a router in [domain], at [address] or at a new one, that knows the first routers' addresses. */
+    fun start(
+        domain: String,
+        address: String = "10.0.${started.size / ADDRESSES}.${started.size % ADDRESSES}:8081",
+    ): VirtualRouter {
+        val id = RouterId("$domain-${random.nextLong().toULong().toString(HEXADECIMAL)}")
+        val seeds = started.take(SEEDS).map { it.self.peerAddress }
+        val router = VirtualRouter(Member(id, FailureDomainId(domain), address), seeds, plan, this, random)
+        started += router
+        network.attach(router)
+        router.start()
+        return router
+    }
+
+    /** Stops [router] without a word and starts another process at its address. */
+    fun restart(router: VirtualRouter): VirtualRouter {
+        router.stop()
+        return start(router.self.failureDomain.value, router.self.peerAddress)
+    }
+
+    fun run(span: Duration): Unit = scheduler.run(span)
+
+    /** Whether every running router sees exactly the running ones and holds the platform's head. */
+    fun converged(): Boolean {
+        val ids = routers.map { it.self.id.value }.sorted()
+        return routers.all { it.memberIds == ids && it.generation == platform.head.generation }
+    }
+
+    /** Runs until [holds], at most for [longest], in [step]s; returns the time it took, or null. */
+    fun runUntil(
+        longest: Duration,
+        step: Duration,
+        holds: () -> Boolean,
+    ): Duration? {
+        var spent = Duration.ZERO
+        while (!holds()) {
+            if (spent >= longest) return null
+            run(step)
+            spent += step
+        }
+        return spent
+    }
+
+    private companion object {
+        const val SEEDS = 5
+        const val ADDRESSES = 250
+        const val HEXADECIMAL = 16
+    }
+}
--- a/router/src/main/kotlin/dev/almondhaven/router/controller/ConfigurationWatcher.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/controller/ConfigurationWatcher.kt
@@ -3,10 +3,10 @@
 import arrow.core.Either
 import arrow.core.flatMap
 import arrow.core.right
-import dev.almondhaven.decision.distribution.CallBudget
 import dev.almondhaven.decision.distribution.ConfigurationFreshness
-import dev.almondhaven.decision.distribution.FullJitter
+import dev.almondhaven.decision.distribution.WatchCall
 import dev.almondhaven.decision.distribution.WatchPlan
+import dev.almondhaven.decision.distribution.WatchSchedule
 import dev.almondhaven.decision.membership.FleetView
 import dev.almondhaven.model.Generation
 import dev.almondhaven.model.LogEvent
@@ -19,13 +19,11 @@
 import org.apache.commons.rng.UniformRandomProvider
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 
 private val logger = KotlinLogging.logger {}
 
 /**
- * Keeps a [CatalogueHolder] up to date from the platform: a router that the [plan] names watches the head, the others
- * read it now and then and otherwise rely on what their peers tell.
+ * Keeps a [CatalogueHolder] up to date from the platform, with the calls that a [WatchSchedule] asks for.
  */
 public class ConfigurationWatcher(
     private val objects: ObjectStore,
@@ -33,16 +31,13 @@
     private val freshness: ConfigurationFreshness,
     private val view: FleetView,
     private val watchWait: Duration,
-    private val random: UniformRandomProvider,
+    random: UniformRandomProvider,
     private val clock: NanoClock = NanoClock.SYSTEM,
-    private val plan: WatchPlan = WatchPlan(),
+    plan: WatchPlan = WatchPlan(),
 ) : AutoCloseable {
-    private val jitter = FullJitter(FIRST_RETRY, LONGEST_RETRY, random)
-    private val budget = CallBudget(CALLS_PER_SECOND, CALL_BURST, clock.nanos())
-    private var watchFrom: Revision? = null
+    private val schedule = WatchSchedule(plan, random, clock.nanos())
+    private var watchFrom = Revision(0)
     private var headGeneration: Generation? = null
-    private var retryAt = clock.nanos()
-    private var pollAt = clock.nanos()
 
     /** Whether the platform answered the last call. */
     @Volatile
@@ -63,28 +58,24 @@
 
     /** Makes the calls that are due; blocks for as long as a watch waits. */
     internal fun refresh() {
-        val now = clock.nanos()
-        val watches = plan.watches(view)
-        val due = now >= retryAt && (watches || now >= pollAt)
-        if (!due || !budget.take(now)) return
-        val revision = watchFrom
-        val outcome = if (watches && revision != null) watchOnce(revision) else readHead()
+        val outcome =
+            when (schedule.next(clock.nanos(), view)) {
+                WatchCall.NONE -> return
+                WatchCall.READ -> readHead()
+                WatchCall.WATCH -> watchOnce()
+            }
         outcome.fold(::failed) { succeeded() }
     }
 
     private fun succeeded() {
         platformReachable = true
-        jitter.succeeded()
         val now = clock.nanos()
-        val stale = freshness.staleSince(now, holder.generation) != null
-        val interval = if (stale) STALE_POLL else plan.pollInterval(view.members.size)
-        pollAt = now + jitter.within(interval * 2).inWholeNanoseconds
+        schedule.succeeded(now, view.members.size, freshness.staleSince(now, holder.generation) != null)
     }
 
     private fun failed(error: PlatformError) {
         platformReachable = false
-        watchFrom = null
-        retryAt = clock.nanos() + jitter.failed().inWholeNanoseconds
+        schedule.failed(clock.nanos())
         LogEvent.PLATFORM_READ_FAILED.log(logger) { "error=$error" }
     }
 
@@ -96,9 +87,9 @@
         }
     }
 
-    private fun watchOnce(revision: Revision): Either<PlatformError, Unit> {
+    private fun watchOnce(): Either<PlatformError, Unit> {
         val askedAt = clock.nanos()
-        return objects.watch(ConfigurationStore.HEAD_KEY.value, revision, watchWait).flatMap { result ->
+        return objects.watch(ConfigurationStore.HEAD_KEY.value, watchFrom, watchWait).flatMap { result ->
             if (result.changes.isNotEmpty()) return readHead()
             watchFrom = result.revision
             headGeneration?.let { freshness.confirmed(it, askedAt) }
@@ -121,11 +112,6 @@
 
     private companion object {
         const val RING = 2
-        const val CALLS_PER_SECOND = 2.0
-        const val CALL_BURST = 10
         val TICK = 100.milliseconds
-        val FIRST_RETRY = 500.milliseconds
-        val LONGEST_RETRY = 10.seconds
-        val STALE_POLL = 15.seconds
     }
 }
