--- a/decision/src/main/kotlin/dev/almondhaven/decision/membership/MemberTable.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/membership/MemberTable.kt
@@ -46,6 +46,10 @@
             .filter { it.record.state == MemberState.DEAD }
             .map { it.record.member.peerAddress }
 
+    /** Records of the dead routers that were at [address]; whoever is there now can contradict. */
+    fun deadAt(address: String): List<MemberRecord> =
+        held.values.map { it.record }.filter { it.state == MemberState.DEAD && it.member.peerAddress == address }
+
     /** Takes [record] in if it is news; returns whether it was. */
     fun merge(
         now: Long,
@@ -54,8 +58,9 @@
         val entry = held[record.member.id.value]
         if (entry == null && !record.inView) return false
         if (entry != null && !record.supersedes(entry.record)) return false
-        viewChanged = viewChanged || entry?.record?.inView != record.inView || entry.record.member != record.member
+        val before = entry?.record
         held[record.member.id.value] = Entry(record, deadline(now, record), settings.transmissions(held.size + 1))
+        if (before?.inView != record.inView || before.member != record.member) viewChanged = true
         return true
     }
 
--- a/decision/src/main/kotlin/dev/almondhaven/decision/membership/Membership.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/membership/Membership.kt
@@ -144,7 +144,8 @@
     ): MembershipAction.Probe {
         val behind = view.members.size * FULL_VIEW_PERCENT < largestPeerCount * PERCENT
         val limit = if (behind) settings.joinPageRecords else settings.pageRecords
-        val message = message(target).copy(pageRequest = PageRequest(pageCursor, limit))
+        val doubted = if (target == null) table.deadAt(address) else listOfNotNull(doubted(target))
+        val message = message(doubted).copy(pageRequest = PageRequest(pageCursor, limit))
         return MembershipAction.Probe(++lastNumber, address, target, message)
     }
 
@@ -168,7 +169,7 @@
     ): MembershipMessage {
         merge(now, message)
         val page = message.pageRequest?.let { table.page(it) }.orEmpty()
-        return message(message.from.id).copy(page = page)
+        return message(listOfNotNull(doubted(message.from.id))).copy(page = page)
     }
 
     /** Takes in the [answer] to [probe]. */
@@ -223,11 +224,13 @@
         }
     }
 
-    private fun message(recipient: RouterId?): MembershipMessage {
+    /** What the recipient has to contradict if it is alive. */
+    private fun doubted(recipient: RouterId): MemberRecord? =
+        table.record(recipient)?.takeIf { it.state != MemberState.ALIVE }
+
+    private fun message(doubted: List<MemberRecord>): MembershipMessage {
         val own = if (leaving) listOf(MemberRecord(self, incarnation, MemberState.LEFT)) else emptyList()
-        val doubted = recipient?.let { table.record(it) }?.takeIf { it.state != MemberState.ALIVE }
-        val news = table.takeNews(settings.recordsPerMessage)
-        val records = (own + listOfNotNull(doubted) + news).distinct()
+        val records = (own + doubted + table.takeNews(settings.recordsPerMessage)).distinct()
         return MembershipMessage(self, incarnation, records, view.members.size)
     }
 
--- a/experiments/src/main/kotlin/dev/almondhaven/experiments/distribution/VirtualFleet.kt
+++ b/experiments/src/main/kotlin/dev/almondhaven/experiments/distribution/VirtualFleet.kt
@@ -60,6 +60,12 @@
         return routers.all { it.memberIds == ids && it.generation == platform.head.generation }
     }
 
+    /** What every running router sees and holds, for the report of a failure. */
+    fun describe(): String =
+        routers.joinToString("\n", "head ${platform.head.generation}\n") { router ->
+            "${router.self.id} at ${router.self.peerAddress}: generation ${router.generation}, sees ${router.memberIds}"
+        }
+
     /** Runs until [holds], at most for [longest], in [step]s; returns the time it took, or null. */
     fun runUntil(
         longest: Duration,
--- a/experiments/src/test/kotlin/dev/almondhaven/experiments/distribution/FleetScheduleTest.kt
+++ b/experiments/src/test/kotlin/dev/almondhaven/experiments/distribution/FleetScheduleTest.kt
@@ -80,7 +80,8 @@
                     }
                     fleet.heal()
 
-                    expectThat(fleet.runUntil(AGREEMENT_BOUND, 1.seconds) { fleet.converged() }).isNotNull()
+                    val agreedAfter = fleet.runUntil(AGREEMENT_BOUND, 1.seconds) { fleet.converged() }
+                    expectThat(agreedAfter).describedAs(fleet.describe()).isNotNull()
                     fleet.allRouters.forEach { router ->
                         val generations = router.inForce.map { it.generation.value }
                         expectThat(generations).isEqualTo(generations.distinct().sorted())
