--- a/model/src/main/kotlin/dev/almondhaven/model/LogEvent.kt
+++ b/model/src/main/kotlin/dev/almondhaven/model/LogEvent.kt
@@ -35,8 +35,16 @@
     CONFIGURATION_STALE(2205, Level.WARN, "Nobody within reach has confirmed the configuration with the platform."),
     CONFIGURATION_CONFIRMED(2206, Level.INFO, "The configuration is confirmed by the platform again."),
     CONFIGURATION_DIVERGENT(2207, Level.ERROR, "Another catalogue has the generation in force; it was ignored."),
+    VERSION_QUARANTINED(3001, Level.WARN, "A version turned out bad and gets no new sessions; the evidence is given."),
+    RATINGS_UNAVAILABLE(3002, Level.WARN, "The rating service does not answer; choices go on with what is known."),
+    RATINGS_DISTRUSTED(3003, Level.WARN, "Most versions' ratings fell at once; those ratings are left out."),
 
     ENDPOINT_ANSWER_BAD(4001, Level.WARN, "An endpoint's answer failed or could not be read."),
+
+    CLAIM_WRITE_UNSETTLED(5001, Level.WARN, "A read or write of claims failed; it is tried again."),
+    CLAIM_OPERATION_DROPPED(5002, Level.WARN, "Too many claim operations wait; one was not taken."),
+    CLAIM_OUTCOME_UNKNOWN(5003, Level.WARN, "A non-idempotent call got an error whose outcome is unknown."),
+    CLAIM_SHARDS_DELETED(5004, Level.INFO, "Claims from before the retention window were deleted."),
     ;
 
     /** Logs this event to [logger] with [detail], which ought to be `name=value` pairs. */
--- a/router/src/main/kotlin/dev/almondhaven/router/Router.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/Router.kt
@@ -13,6 +13,8 @@
 import dev.almondhaven.model.NanoClock
 import dev.almondhaven.platform.HttpObjectStore
 import dev.almondhaven.platform.ObjectStore
+import dev.almondhaven.router.claim.Claims
+import dev.almondhaven.router.claim.RepeatOutcomeFilter
 import dev.almondhaven.router.controller.CatalogueHolder
 import dev.almondhaven.router.controller.ConfigurationWatcher
 import dev.almondhaven.router.endpoint.Dispatcher
@@ -21,7 +23,6 @@
 import dev.almondhaven.router.filter.ConfigurationAgeFilter
 import dev.almondhaven.router.filter.EndpointChoiceFilter
 import dev.almondhaven.router.filter.IdentifyFilter
-import dev.almondhaven.router.filter.ModelChoiceFilter
 import dev.almondhaven.router.filter.ModelListFilter
 import dev.almondhaven.router.filter.ParseFilter
 import dev.almondhaven.router.filter.RequestHandler
@@ -66,6 +67,9 @@
     private val watcher =
         ConfigurationWatcher(objects, holder, freshness, peers.view, settings.platform.watchWait, newRandom())
     private val status = StatusReporter(peers, holder, freshness, clock, Lifecycle())
+    private val claims = Claims(settings.claims, objects, clock, peers)
+    private val choice =
+        ModelChoice(holder, peers.self.id, settings.choice, clock, routers = { peers.view.members.size })
     private val server = buildServer()
 
     @Volatile
@@ -86,6 +90,8 @@
     private fun start() {
         addGauges()
         watcher.start()
+        choice.topics.forEach { peers.topics.register(it) }
+        choice.start()
         server.start().join()
         LogEvent.ROUTER_STARTED.log(logger) { "port=$port domain=${settings.process.failureDomain}" }
     }
@@ -110,14 +116,16 @@
         filterChain(
             listOf(
                 ConfigurationAgeFilter({ holder.generation }, status::staleSince),
+                RepeatOutcomeFilter,
                 IdentifyFilter(holder),
                 ParseFilter(holder),
                 ModelListFilter(holder),
                 AdmissionFilter(settings.requests.inFlight),
-                ModelChoiceFilter(holder),
+                claims.filter,
+                choice.filter(),
                 EndpointChoiceFilter(holder, settings.process.failureDomain),
             ),
-            Dispatcher(holder, clients, clock),
+            Dispatcher(holder, choice.policy, clients, clock, settings.claims.runLimit),
         )
 
     private fun buildServer(): Server =
@@ -144,8 +152,10 @@
         draining = true
         peerController?.close()
         server.stop().join()
+        claims.close()
         watcher.close()
         peers.close()
+        choice.close()
         clients.close()
         workers.shutdownGracefully(0, 0, TimeUnit.SECONDS)
         LogEvent.ROUTER_STOPPED.log(logger)
