--- a/router/src/main/kotlin/dev/almondhaven/router/Router.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/Router.kt
@@ -7,6 +7,7 @@
 import com.linecorp.armeria.server.Server
 import com.linecorp.armeria.server.healthcheck.HealthCheckService
 import com.linecorp.armeria.server.healthcheck.HealthChecker
+import dev.almondhaven.decision.distribution.ConfigurationFreshness
 import dev.almondhaven.decision.membership.Member
 import dev.almondhaven.model.LogEvent
 import dev.almondhaven.model.NanoClock
@@ -22,6 +23,7 @@
 import dev.almondhaven.router.endpoint.LoadReportPoller
 import dev.almondhaven.router.endpoint.WaitingRoom
 import dev.almondhaven.router.filter.AdmissionFilter
+import dev.almondhaven.router.filter.ConfigurationAgeFilter
 import dev.almondhaven.router.filter.DomainServiceFilter
 import dev.almondhaven.router.filter.EndpointChoiceFilter
 import dev.almondhaven.router.filter.IdentifyFilter
@@ -31,11 +33,16 @@
 import dev.almondhaven.router.filter.RetryFilter
 import dev.almondhaven.router.filter.filterChain
 import dev.almondhaven.router.limit.UsageLimiter
+import dev.almondhaven.router.peer.PeerController
 import dev.almondhaven.router.peer.PeerNetwork
+import dev.almondhaven.router.peer.StatusReporter
 import dev.almondhaven.router.session.Sessions
+import dev.almondhaven.router.settings.PeerSettings
 import dev.almondhaven.router.settings.RouterSettings
 import dev.almondhaven.router.settings.socketAddress
 import io.github.oshai.kotlinlogging.KotlinLogging
+import org.apache.commons.rng.UniformRandomProvider
+import org.apache.commons.rng.simple.RandomSource
 import java.net.URI
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
@@ -58,6 +65,8 @@
     private val clock = NanoClock.SYSTEM
     private val metrics = RouterMetrics()
     private val holder = CatalogueHolder()
+    private val staleAfter = settings.peers?.staleAfter ?: PeerSettings.DEFAULT_STALE_AFTER
+    private val freshness = ConfigurationFreshness(staleAfter, clock.nanos())
     private val workers = EndpointClients.newWorkers(Runtime.getRuntime().availableProcessors())
     private val clients = EndpointClients(workers, settings.endpoints.connectTimeout, settings.endpoints.pingInterval)
     private val peers = PeerNetwork.open(settings.peers, settings.process.failureDomain)
@@ -66,7 +75,10 @@
     private val waitingRoom = WaitingRoom(clock)
     private val limiter = UsageLimiter(holder, peers.view, clock)
     private val loadReports = LoadReportPoller(directory, clients, clock, settings.endpoints.statusInterval)
-    private val watcher = ConfigurationWatcher(objects, holder, settings.platform.watchWait)
+    private val peerController = settings.peers?.let { PeerController(peers, it, holder, freshness, clock) }
+    private val watcher =
+        ConfigurationWatcher(objects, holder, freshness, peers.view, settings.platform.watchWait, newRandom())
+    private val status = StatusReporter(peers, holder, freshness, clock, Lifecycle())
     private val claims = Claims(settings.claims, objects, clock, peers)
     private val choice =
         ModelChoice(holder, peers.self.id, settings.choice, clock, routers = { peers.view.members.size })
@@ -81,14 +93,14 @@
     /** This router as its peers know it. */
     public val self: Member get() = peers.self
 
+    private inner class Lifecycle : StatusReporter.Lifecycle {
+        override val ready: Boolean get() = takesWork()
+        override val draining: Boolean get() = this@Router.draining
+        override val platformReachable: Boolean get() = watcher.platformReachable
+    }
+
     private fun start() {
-        metrics.gauge("almondhaven_configuration_generation", "Generation in force on this router.") {
-            holder.index.generation.value
-                .toDouble()
-        }
-        metrics.gauge("almondhaven_sessions_remembered", "Sessions known by their id that this router remembers.") {
-            sessions.remembered.toDouble()
-        }
+        addGauges()
         peers.topics.register(limiter.gossip)
         watcher.start()
         choice.topics.forEach { peers.topics.register(it) }
@@ -97,9 +109,29 @@
         LogEvent.ROUTER_STARTED.log(logger) { "port=$port domain=${settings.process.failureDomain}" }
     }
 
+    private fun addGauges() {
+        metrics.gauge("almondhaven_configuration_generation", "Generation in force on this router.") {
+            holder.generation.value.toDouble()
+        }
+        metrics.gauge("almondhaven_configuration_stale_seconds", "Time unconfirmed by the platform; 0 when fresh.") {
+            status.staleSince()?.let { (System.currentTimeMillis() - it) / MILLIS_PER_SECOND } ?: 0.0
+        }
+        metrics.gauge("almondhaven_platform_reachable", "1 if the platform answered the last configuration call.") {
+            if (watcher.platformReachable) 1.0 else 0.0
+        }
+        metrics.gauge("almondhaven_sessions_remembered", "Sessions known by their id that this router remembers.") {
+            sessions.remembered.toDouble()
+        }
+        metrics.gauge("almondhaven_peer_members", "Routers in this router's view, itself included.") {
+            peers.view.members.size
+                .toDouble()
+        }
+    }
+
     private fun chain(): RequestHandler =
         filterChain(
             listOf(
+                ConfigurationAgeFilter({ holder.generation }, status::staleSince),
                 RepeatOutcomeFilter,
                 DomainServiceFilter(holder, settings.process.failureDomain),
                 IdentifyFilter(holder),
@@ -147,6 +179,7 @@
     override fun close() {
         LogEvent.ROUTER_STOPPING.log(logger)
         draining = true
+        peerController?.close()
         server.stop().join()
         claims.close()
         watcher.close()
@@ -167,6 +200,9 @@
     public companion object {
         private val QUIET_PERIOD: Duration = 50.milliseconds
         private val DRAIN_TIMEOUT: Duration = 30.seconds
+        private const val MILLIS_PER_SECOND = 1_000.0
+
+        private fun newRandom(): UniformRandomProvider = RandomSource.XO_RO_SHI_RO_128_PP.create()
 
         /** Starts a router against the platform that [settings] name. */
         public fun start(settings: RouterSettings): Router =
