Guard the platform's calls: budget, circuit breaker, retries, settled writes, metrics

Cause: every router called the platform without a bound of its own; a lost answer of a write stayed open. Router metrics per kind of call.

--- a/router/src/main/kotlin/dev/almondhaven/router/Router.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/Router.kt
@@ -16,6 +16,7 @@
 import dev.almondhaven.router.claim.RepeatOutcomeFilter
 import dev.almondhaven.router.controller.CatalogueHolder
 import dev.almondhaven.router.controller.ConfigurationWatcher
+import dev.almondhaven.router.controller.guardedObjects
 import dev.almondhaven.router.endpoint.Dispatcher
 import dev.almondhaven.router.endpoint.EndpointClients
 import dev.almondhaven.router.filter.AdmissionFilter
@@ -47,7 +48,7 @@
  */
 public class Router private constructor(
     private val settings: RouterSettings,
-    objects: ObjectStore,
+    platform: ObjectStore,
 ) : AutoCloseable {
     private val clock = NanoClock.SYSTEM
     private val metrics = RouterMetrics()
@@ -55,6 +56,7 @@
     private val workers = EndpointClients.newWorkers(Runtime.getRuntime().availableProcessors())
     private val clients = EndpointClients(workers)
     private val peers = PeerNetwork.open(settings.peers, settings.process.failureDomain)
+    private val objects = guardedObjects(platform, settings.platform, clock, metrics) { peers.view.members.size }
     private val watcher = ConfigurationWatcher(objects, holder, settings.platform.watchWait)
     private val claims = Claims(settings.claims, objects, clock, peers)
     private val server = buildServer()
--- /dev/null
+++ b/router/src/main/kotlin/dev/almondhaven/router/controller/GuardedObjects.kt
@@ -0,0 +1,66 @@
+package dev.almondhaven.router.controller
+
+import dev.almondhaven.model.NanoClock
+import dev.almondhaven.platform.CallBudget
+import dev.almondhaven.platform.CallGuards
+import dev.almondhaven.platform.CircuitBreaker
+import dev.almondhaven.platform.GuardedObjectStore
+import dev.almondhaven.platform.ObjectStore
+import dev.almondhaven.platform.PlatformCallListener
+import dev.almondhaven.platform.PlatformShare
+import dev.almondhaven.router.RouterMetrics
+import dev.almondhaven.router.settings.PlatformSettings
+import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.core.metrics.Histogram
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import kotlin.random.Random
+import kotlin.time.DurationUnit
+
+/** Calls a shard's owner may make above its share while it owns the shard. */
+private const val BURST = 100.0
+
+/** Guards the calls of this router: its share of the platform's rate, a circuit breaker, retries and metrics. */
+internal fun guardedObjects(
+    platform: ObjectStore,
+    settings: PlatformSettings,
+    clock: NanoClock,
+    metrics: RouterMetrics,
+    fleetSize: () -> Int,
+): ObjectStore {
+    val share = PlatformShare(clock, fleetSize = fleetSize)
+    val breaker = CircuitBreaker(clock, Random.Default)
+    val guards =
+        CallGuards(
+            reads = CallBudget(clock, BURST) { share.of(settings.readsPerSecond) },
+            writes = CallBudget(clock, BURST) { share.of(settings.writesPerSecond) },
+            breaker = breaker,
+            listener = platformCallMetrics(metrics.registry),
+        )
+    metrics.gauge("almondhaven_platform_circuit_open", "1 while calls of the platform are held back.") {
+        if (breaker.open) 1.0 else 0.0
+    }
+    return GuardedObjectStore(platform, guards, clock, Random.Default)
+}
+
+private fun platformCallMetrics(registry: PrometheusRegistry): PlatformCallListener {
+    val calls =
+        Counter
+            .builder()
+            .name("almondhaven_platform_calls_total")
+            .help("Calls of the object API by kind and result.")
+            .labelNames("kind", "result")
+            .register(registry)
+    val duration =
+        Histogram
+            .builder()
+            .name("almondhaven_platform_call_duration_seconds")
+            .help("Time of a call of the object API by kind.")
+            .labelNames("kind")
+            .classicOnly()
+            .classicUpperBounds(0.001, 0.005, 0.01, 0.05, 0.1, 0.5, 1.0, 2.0, 30.0)
+            .register(registry)
+    return PlatformCallListener { kind, error, took ->
+        calls.labelValues(kind.name.lowercase(), error?.javaClass?.simpleName ?: "answered").inc()
+        duration.labelValues(kind.name.lowercase()).observe(took.toDouble(DurationUnit.SECONDS))
+    }
+}
--- a/router/src/main/kotlin/dev/almondhaven/router/settings/RouterSettings.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/settings/RouterSettings.kt
@@ -31,12 +31,16 @@
  * @property address base address of the object API.
  * @property callTimeout longest wait for one call.
  * @property watchWait longest wait of one watch.
+ * @property writesPerSecond writes that all routers together may make; each takes its share.
+ * @property readsPerSecond reads and watches that all routers together may make; each takes its share.
  */
 @Serializable
 public data class PlatformSettings(
     public val address: String,
     @Serializable(with = DurationText::class) public val callTimeout: Duration = 2.seconds,
     @Serializable(with = DurationText::class) public val watchWait: Duration = 20.seconds,
+    public val writesPerSecond: Double = 200.0,
+    public val readsPerSecond: Double = 1_500.0,
 )
 
 /**
@@ -83,6 +87,8 @@
             if (requests.inFlight <= 0) add(Problem("requests.inFlight", "${requests.inFlight}", "1 or more"))
             addAll(positive("platform.callTimeout", platform.callTimeout))
             addAll(positive("platform.watchWait", platform.watchWait))
+            addAll(positive("platform.writesPerSecond", platform.writesPerSecond))
+            addAll(positive("platform.readsPerSecond", platform.readsPerSecond))
             addAll(positive("claims.writeInterval", claims.writeInterval))
             addAll(positive("claims.dispatchBound", claims.dispatchBound))
             addAll(positive("claims.runLimit", claims.runLimit))
@@ -94,6 +100,11 @@
     public companion object {
         internal val HOST_AND_PORT = Regex("""(\d{1,3}\.){3}\d{1,3}:\d{1,5}|\[[0-9a-fA-F:]+]:\d{1,5}""")
 
+        internal fun positive(
+            path: String,
+            value: Double,
+        ): List<Problem> = if (value > 0) emptyList() else listOf(Problem(path, "$value", "more than 0"))
+
         internal fun positive(
             path: String,
             value: Duration,
