--- /dev/null
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/billing/BillingOutbox.kt
@@ -0,0 +1,109 @@
+package dev.almondhaven.decision.billing
+
+import dev.almondhaven.billing.BatchName
+import dev.almondhaven.billing.BillingRecord
+import dev.almondhaven.billing.SealedBatch
+import dev.almondhaven.model.RouterId
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Bounds of a [BillingOutbox].
+ *
+ * @property records most records kept while the platform is down; further ones overflow.
+ * @property sealAfter longest time that a record waits for others before its batch is sealed and copied to a peer.
+ * @property resendAfter least time before an unstored batch is sent to a writer again; doubles up to [longestResend].
+ */
+public data class OutboxLimits(
+    public val records: Int = 60_000,
+    public val batchRecords: Int = 500,
+    public val sealAfter: Duration = 250.milliseconds,
+    public val resendAfter: Duration = 5.seconds,
+    public val longestResend: Duration = 60.seconds,
+)
+
+/**
+ * The records of one router that the platform doesn't hold yet. A batch stays until it is known to be stored, and is
+ * sent again from time to time until then. Not safe for use from several threads.
+ */
+public class BillingOutbox(
+    private val self: RouterId,
+    private val limits: OutboxLimits = OutboxLimits(),
+) {
+    private class Unstored(
+        val batch: SealedBatch,
+        var sendAt: Long,
+        var pause: Duration,
+    )
+
+    private val open = ArrayList<BillingRecord>()
+    private val unstored = LinkedHashMap<Long, Unstored>()
+    private var openedAt = 0L
+    private var sealed = 0L
+
+    /** Records held, sealed or not. */
+    @Volatile
+    public var held: Int = 0
+        private set
+
+    /** Records that found no room and are lost. */
+    @Volatile
+    public var overflowed: Long = 0
+        private set
+
+    /** Takes [record] at monotonic time [now]; false if there is no room. */
+    public fun add(
+        record: BillingRecord,
+        now: Long,
+    ): Boolean {
+        if (held >= limits.records) {
+            overflowed++
+            return false
+        }
+        if (open.isEmpty()) openedAt = now
+        open += record
+        held++
+        return true
+    }
+
+    /** Seals what is open if it is large or old enough, or if [force]; the new batch, to be copied to a peer. */
+    public fun seal(
+        now: Long,
+        wallMillis: Long,
+        force: Boolean = false,
+    ): SealedBatch? {
+        val due = open.size >= limits.batchRecords || now - openedAt >= limits.sealAfter.inWholeNanoseconds
+        if (open.isEmpty() || !(due || force)) return null
+        sealed++
+        val batch = SealedBatch(BatchName(self, sealed), wallMillis, open.take(limits.batchRecords))
+        open.subList(0, batch.records.size).clear()
+        openedAt = now
+        unstored[sealed] = Unstored(batch, now, limits.resendAfter)
+        return batch
+    }
+
+    /** The batches to send to a writer at [now], oldest first; each comes back later unless it is stored. */
+    public fun due(
+        now: Long,
+        most: Int,
+    ): List<SealedBatch> {
+        val due = unstored.values.filter { now - it.sendAt >= 0 }.take(most)
+        due.forEach {
+            it.sendAt = now + it.pause.inWholeNanoseconds
+            it.pause = minOf(it.pause * 2, limits.longestResend)
+        }
+        return due.map { it.batch }
+    }
+
+    /** Reports that the platform holds the batch [name]; true if it was waited for. */
+    public fun stored(name: BatchName): Boolean {
+        if (name.router != self) return false
+        val batch = unstored.remove(name.number) ?: return false
+        held -= batch.batch.records.size
+        return true
+    }
+
+    /** Batches that the platform doesn't hold yet. */
+    public val unstoredBatches: Int get() = unstored.size
+}
--- a/model/src/main/kotlin/dev/almondhaven/model/LogEvent.kt
+++ b/model/src/main/kotlin/dev/almondhaven/model/LogEvent.kt
@@ -42,6 +42,11 @@
     CLAIM_OPERATION_DROPPED(5002, Level.WARN, "Too many claim operations wait; one was not taken."),
     CLAIM_OUTCOME_UNKNOWN(5003, Level.WARN, "A non-idempotent call got an error whose outcome is unknown."),
     CLAIM_SHARDS_DELETED(5004, Level.INFO, "Claims from before the retention window were deleted."),
+
+    BILLING_OVERFLOWED(5101, Level.ERROR, "A billing record found no room and is lost."),
+    BILLING_WRITE_FAILED(5102, Level.WARN, "Billing records could not be written to the platform; they are kept."),
+    BILLING_ORPHANS_TAKEN(5103, Level.INFO, "The records of a router that is gone are stored from their copy."),
+    BILLING_LEFT_UNSTORED(5104, Level.WARN, "The router stops with records that only a peer's copy holds."),
     ;
 
     /** Logs this event to [logger] with [detail], which ought to be `name=value` pairs. */
--- a/model/src/main/kotlin/dev/almondhaven/model/ResultCode.kt
+++ b/model/src/main/kotlin/dev/almondhaven/model/ResultCode.kt
@@ -48,6 +48,8 @@
     CLAIM_BOUND_PASSED(5019, 503, "The time within which the claim may be dispatched passed."),
     CLAIM_VOIDED(5020, 503, "A call under the same key was refused at about the same time; it may be sent again."),
 
+    BILLING_CONFLICT(5101, 0, "Some requests have unlike billing records; they are listed."),
+
     INVALID_SETTINGS(6001, 0, "The settings file is wrong; every problem is listed."),
     INVALID_NOTE(6002, 0, "The release note is wrong; every problem is listed."),
     PUBLISH_CONFLICT(6003, 0, "Another configuration was accepted first; the differences are listed."),
--- a/router/src/main/kotlin/dev/almondhaven/router/CallerService.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/CallerService.kt
@@ -13,6 +13,7 @@
 import dev.almondhaven.model.Refusal
 import dev.almondhaven.model.RequestId
 import dev.almondhaven.model.ResultCode
+import dev.almondhaven.router.billing.BillingTap
 import dev.almondhaven.router.filter.Answer
 import dev.almondhaven.router.filter.Exchange
 import dev.almondhaven.router.filter.RequestHandler
@@ -29,6 +30,7 @@
 internal class CallerService(
     private val handler: RequestHandler,
     private val metrics: RouterMetrics,
+    private val billing: BillingTap,
     private val requestTimeout: Duration,
     private val clock: NanoClock,
 ) : HttpService {
@@ -47,6 +49,7 @@
         request: AggregatedHttpRequest,
     ): HttpResponse {
         val exchange = exchangeOf(context, request.headers(), request.content())
+        billing.attach(exchange)
         val response =
             handler
                 .handle(exchange)
--- a/router/src/main/kotlin/dev/almondhaven/router/Router.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/Router.kt
@@ -12,6 +12,8 @@
 import dev.almondhaven.model.NanoClock
 import dev.almondhaven.platform.HttpObjectStore
 import dev.almondhaven.platform.ObjectStore
+import dev.almondhaven.router.billing.Billing
+import dev.almondhaven.router.billing.BillingTap
 import dev.almondhaven.router.claim.Claims
 import dev.almondhaven.router.claim.RepeatOutcomeFilter
 import dev.almondhaven.router.controller.CatalogueHolder
@@ -58,6 +60,7 @@
     private val peers = PeerNetwork.open(settings.peers, settings.process.failureDomain)
     private val objects = guardedObjects(platform, settings.platform, clock, metrics) { peers.view.members.size }
     private val watcher = ConfigurationWatcher(objects, holder, settings.platform.watchWait)
+    private val billing = Billing(settings.billing, objects, clock, peers, metrics)
     private val claims = Claims(settings.claims, objects, clock, peers)
     private val server = buildServer()
 
@@ -107,8 +110,16 @@
             .service("/health/live", HttpService { _, _ -> HttpResponse.of(HttpStatus.OK) })
             .service("/health/ready", HealthCheckService.of(HealthChecker { holder.configured && !draining }))
             .service("/metrics", HttpService { _, _ -> metricsResponse() })
-            .service("prefix:/", CallerService(chain(), metrics, settings.requests.requestTimeout, clock))
-            .build()
+            .service(
+                "prefix:/",
+                CallerService(
+                    chain(),
+                    metrics,
+                    BillingTap(holder, billing::offer),
+                    settings.requests.requestTimeout,
+                    clock,
+                ),
+            ).build()
 
     private fun metricsResponse(): HttpResponse =
         HttpResponse.of(HttpStatus.OK, MediaType.PLAIN_TEXT_UTF_8, metrics.text())
@@ -119,6 +130,7 @@
         draining = true
         server.stop().join()
         claims.close()
+        billing.close()
         watcher.close()
         peers.close()
         clients.close()
--- /dev/null
+++ b/router/src/main/kotlin/dev/almondhaven/router/billing/BillingMessages.kt
@@ -0,0 +1,51 @@
+package dev.almondhaven.router.billing
+
+import dev.almondhaven.billing.BatchName
+import dev.almondhaven.billing.BillingRecord
+import dev.almondhaven.billing.SealedBatch
+import dev.almondhaven.decision.membership.Member
+import kotlinx.serialization.Serializable
+
+/** Asks a peer to hold a copy of [batch] until it is released, and to drop those in [released]. */
+@Serializable
+internal data class HoldCopy(
+    val batch: SealedBatch? = null,
+    val released: List<BatchName> = emptyList(),
+)
+
+/** Asks a writer to store [batch] and to tell [from] when it has. */
+@Serializable
+internal data class StoreBatch(
+    val from: Member,
+    val batch: SealedBatch,
+)
+
+/** Says that the platform holds the batches [names]. */
+@Serializable
+internal data class BatchesStored(
+    val names: List<BatchName>,
+)
+
+/** Says whether a message was taken. */
+@Serializable
+internal data class BillingAccepted(
+    val accepted: Boolean,
+)
+
+/** What the billing duty thread is told. */
+internal sealed interface BillingMessage {
+    data class Ended(
+        val record: BillingRecord,
+    ) : BillingMessage
+
+    data class Held(
+        val message: HoldCopy,
+    ) : BillingMessage
+
+    data class Stored(
+        val names: List<BatchName>,
+    ) : BillingMessage
+
+    /** Seal what is open at once. */
+    data object Flush : BillingMessage
+}
--- a/router/src/main/kotlin/dev/almondhaven/router/claim/ClaimedCall.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/claim/ClaimedCall.kt
@@ -42,12 +42,19 @@
     private val attempt = ledger.open(dispatchBy)
     private val process = ClaimProcess(request, attempt, ledger)
     private val answer = CompletableFuture<Answer>()
+    private var dispatching = false
+
+    // A dispatched call counts as running until its own end, also when its caller has left.
+    private val releaseJournal = exchange.journal.hold()
 
     /** The answer, at the exchange's deadline at the latest. */
     fun start(): CompletableFuture<Answer> {
         val remaining = (exchange.deadline - clock.nanos()).coerceAtLeast(0)
         val timer = exchange.eventLoop.schedule({ run(process.onDeadline()) }, remaining, TimeUnit.NANOSECONDS)
-        answer.whenComplete { _, _ -> timer.cancel(false) }
+        answer.whenComplete { _, _ ->
+            timer.cancel(false)
+            if (!dispatching) releaseJournal()
+        }
         run(process.start())
         return answer
     }
@@ -87,6 +94,7 @@
 
     private fun dispatch() {
         exchange.journal.recordFirstUse()
+        dispatching = true
         next.handle(exchange.with(this)).whenCompleteAsync(
             { result, failure -> ended(result ?: internalError(failure)) },
             exchange.eventLoop,
@@ -108,6 +116,7 @@
                 else -> run(action)
             }
         }
+        releaseJournal()
     }
 
     private fun fail(
--- a/router/src/main/kotlin/dev/almondhaven/router/filter/RequestJournal.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/filter/RequestJournal.kt
@@ -6,6 +6,8 @@
 import dev.almondhaven.model.Outcome
 import dev.almondhaven.model.Refusal
 import java.util.concurrent.CompletableFuture
+import java.util.concurrent.atomic.AtomicBoolean
+import java.util.concurrent.atomic.AtomicInteger
 
 /** Tokens that an answer cost. */
 public data class Usage(
@@ -105,6 +107,8 @@
         private set
 
     private val ended = CompletableFuture<Unit>()
+    private val endRecorded = AtomicBoolean()
+    private val holds = AtomicInteger(1)
 
     /** Runs [action] once the request has ended: its answer is written whole, or failed, or the caller has left. */
     public fun whenEnded(action: () -> Unit) {
@@ -113,7 +117,18 @@
 
     /** Notes that the request has ended; only the first call has an effect. */
     public fun recordEnd() {
-        ended.complete(Unit)
+        if (endRecorded.compareAndSet(false, true)) release()
+    }
+
+    /** Puts the end of the request off until the returned function is called, as long as the request hasn't ended. */
+    public fun hold(): () -> Unit {
+        holds.incrementAndGet()
+        val released = AtomicBoolean()
+        return { if (released.compareAndSet(false, true)) release() }
+    }
+
+    private fun release() {
+        if (holds.decrementAndGet() == 0) ended.complete(Unit)
     }
 
     /** The outcome of an error: `not_run` only as long as nothing was dispatched. */
--- a/router/src/main/kotlin/dev/almondhaven/router/settings/RouterSettings.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/settings/RouterSettings.kt
@@ -71,6 +71,7 @@
     public val platform: PlatformSettings,
     public val requests: RequestSettings = RequestSettings(),
     public val claims: ClaimSettings = ClaimSettings(),
+    public val billing: BillingSettings = BillingSettings(),
     public val peers: PeerSettings? = null,
 ) {
     /** Everything that is wrong with the values themselves. */
@@ -89,6 +90,8 @@
             addAll(positive("platform.watchWait", platform.watchWait))
             addAll(positive("platform.writesPerSecond", platform.writesPerSecond))
             addAll(positive("platform.readsPerSecond", platform.readsPerSecond))
+            addAll(positive("billing.writeInterval", billing.writeInterval))
+            if (billing.records <= 0) add(Problem("billing.records", "${billing.records}", "1 or more"))
             addAll(positive("claims.writeInterval", claims.writeInterval))
             addAll(positive("claims.dispatchBound", claims.dispatchBound))
             addAll(positive("claims.runLimit", claims.runLimit))
