--- a/decision/src/main/kotlin/dev/almondhaven/decision/billing/BillingOutbox.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/billing/BillingOutbox.kt
@@ -35,10 +35,11 @@
         val batch: SealedBatch,
         var sendAt: Long,
         var pause: Duration,
+        var holder: RouterId? = null,
     )
 
     private val open = ArrayList<BillingRecord>()
-    private val unstored = LinkedHashMap<Long, Unstored>()
+    private val unstored = LinkedHashMap<BatchName, Unstored>()
     private var openedAt = 0L
     private var sealed = 0L
 
@@ -79,10 +80,40 @@
         val batch = SealedBatch(BatchName(self, sealed), wallMillis, open.take(limits.batchRecords))
         open.subList(0, batch.records.size).clear()
         openedAt = now
-        unstored[sealed] = Unstored(batch, now, limits.resendAfter)
+        unstored[batch.name] = Unstored(batch, now, limits.resendAfter)
         return batch
     }
 
+    /** Takes over a sealed [batch] of a router that is gone, whatever room there is. */
+    public fun adopt(
+        batch: SealedBatch,
+        now: Long,
+    ) {
+        if (batch.name in unstored) return
+        unstored[batch.name] = Unstored(batch, now, limits.resendAfter)
+        held += batch.records.size
+    }
+
+    /** The batches of which no router among [live] is known to hold a copy, oldest first. */
+    public fun uncopied(
+        live: Set<RouterId>,
+        most: Int,
+    ): List<SealedBatch> =
+        unstored.values
+            .asSequence()
+            .filter { it.holder == null || it.holder !in live }
+            .map { it.batch }
+            .take(most)
+            .toList()
+
+    /** Reports that [holder] has a copy of the batch [name]. */
+    public fun copied(
+        name: BatchName,
+        holder: RouterId,
+    ) {
+        unstored[name]?.holder = holder
+    }
+
     /** The batches to send to a writer at [now], oldest first; each comes back later unless it is stored. */
     public fun due(
         now: Long,
@@ -98,8 +129,7 @@
 
     /** Reports that the platform holds the batch [name]; true if it was waited for. */
     public fun stored(name: BatchName): Boolean {
-        if (name.router != self) return false
-        val batch = unstored.remove(name.number) ?: return false
+        val batch = unstored.remove(name) ?: return false
         held -= batch.batch.records.size
         return true
     }
--- a/decision/src/main/kotlin/dev/almondhaven/decision/billing/HeldCopies.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/billing/HeldCopies.kt
@@ -8,8 +8,8 @@
 
 /**
  * Copies of other routers' batches, kept until their router says that the platform holds them, or is gone: then they
- * are handed over to be stored from here. Storing a batch twice bills it once, so handing over early is safe. Not safe
- * for use from several threads.
+ * are handed over to this router's own outbox. Storing a batch twice bills it once, so handing over early is safe. Not
+ * safe for use from several threads.
  */
 public class HeldCopies(
     private val mostRecords: Int = DEFAULT_MOST_RECORDS,
@@ -37,8 +37,8 @@
         names.forEach { name -> copies.remove(name)?.let { records -= it.records.size } }
     }
 
-    /** The copies of routers that have been missing from [live] for longer than the patience at [now]. */
-    public fun orphans(
+    /** Hands over the copies of routers that have been missing from [live] for longer than the patience at [now]. */
+    public fun takeOrphans(
         live: Set<RouterId>,
         now: Long,
     ): List<SealedBatch> {
@@ -46,7 +46,7 @@
         missingSince.keys.retainAll(missing)
         missing.forEach { missingSince.putIfAbsent(it, now) }
         val gone = missingSince.filterValues { now - it >= patience.inWholeNanoseconds }.keys
-        return copies.values.filter { it.name.router in gone }
+        return copies.values.filter { it.name.router in gone }.also { orphans -> release(orphans.map { it.name }) }
     }
 
     private companion object {
--- a/router/src/main/kotlin/dev/almondhaven/router/billing/Billing.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/billing/Billing.kt
@@ -1,5 +1,6 @@
 package dev.almondhaven.router.billing
 
+import arrow.core.Either
 import dev.almondhaven.billing.BatchName
 import dev.almondhaven.billing.BillingRecord
 import dev.almondhaven.billing.SealedBatch
@@ -10,19 +11,21 @@
 import dev.almondhaven.decision.membership.RendezvousHash
 import dev.almondhaven.model.LogEvent
 import dev.almondhaven.model.NanoClock
+import dev.almondhaven.model.RouterId
 import dev.almondhaven.peer.PeerProtocol
 import dev.almondhaven.platform.BillingStore
 import dev.almondhaven.platform.ObjectStore
 import dev.almondhaven.router.RouterMetrics
 import dev.almondhaven.router.controller.DutyThread
+import dev.almondhaven.router.peer.PeerError
 import dev.almondhaven.router.peer.PeerNetwork
 import dev.almondhaven.router.settings.BillingSettings
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.serialization.KSerializer
+import java.util.concurrent.CompletableFuture
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 
 private val logger = KotlinLogging.logger {}
 
@@ -40,9 +43,10 @@
 ) : AutoCloseable {
     private val outbox = BillingOutbox(network.self.id, OutboxLimits(records = settings.records))
     private val copies = HeldCopies(settings.records)
+    private val mostCopies = settings.records
     private val askedBy = ConcurrentHashMap<BatchName, Member>()
     private val released = ArrayList<BatchName>()
-    private var orphansAt = clock.nanos()
+    private val asked = HashSet<BatchName>()
     private val writer = BillingWriter(BillingStore(objects), settings.writeInterval, settings.records, ::stored)
     private val duty = DutyThread.start("billing", RING, TICK, ::tick, ::take)
 
@@ -73,42 +77,60 @@
         when (message) {
             is BillingMessage.Ended -> if (!outbox.add(message.record, clock.nanos())) overflowed(message.record)
             is BillingMessage.Stored -> message.names.forEach { if (outbox.stored(it)) released += it }
-            is BillingMessage.Held -> holdCopy(message.message)
+            is BillingMessage.Held -> holdCopies(message.message)
+            is BillingMessage.Copied -> copied(message)
             BillingMessage.Flush -> seal(force = true)
         }
     }
 
-    private fun holdCopy(message: HoldCopy) {
+    private fun holdCopies(message: HoldCopies) {
         copies.release(message.released)
-        message.batch?.let { copies.hold(it) }
+        message.batches.forEach { copies.hold(it) }
     }
 
     private fun tick() {
         seal(force = false)
+        copyToPeer()
         outbox.due(clock.nanos(), BATCHES_AT_ONCE).forEach(::sendToWriter)
-        storeOrphans()
+        val live = live()
+        copies.takeOrphans(live, clock.nanos()).forEach(::adopt)
+    }
+
+    private fun live(): Set<RouterId> =
+        network.view.members
+            .map(Member::id)
+            .toSet()
+
+    private fun adopt(batch: SealedBatch) {
+        LogEvent.BILLING_ORPHANS_TAKEN.log(logger) { "batch=${batch.name} records=${batch.records.size}" }
+        outbox.adopt(batch, clock.nanos())
     }
 
     private fun seal(force: Boolean) {
         var batch = outbox.seal(clock.nanos(), System.currentTimeMillis(), force)
-        while (batch != null) {
-            copyToPeer(batch)
-            batch = outbox.seal(clock.nanos(), System.currentTimeMillis(), force)
-        }
-        if (released.size >= RELEASED_AT_ONCE) copyToPeer(null)
+        while (batch != null) batch = outbox.seal(clock.nanos(), System.currentTimeMillis(), force)
     }
 
-    private fun copyToPeer(batch: SealedBatch?) {
-        val peer = others(network.view.members).firstOrNull() ?: return
-        val message = HoldCopy(batch, released.toList())
+    /** Sends a peer copies of what it doesn't hold, and tells it what it need not hold any longer. */
+    private fun copyToPeer() {
+        val peer = peerForCopies() ?: return
+        val batches = outbox.uncopied(live(), BATCHES_AT_ONCE).filter { asked.add(it.name) }
+        if (batches.isEmpty() && released.size < RELEASED_AT_ONCE) return
+        val message = HoldCopies(batches, released.toList())
         released.clear()
-        post(peer, HOLD_PATH, message, HoldCopy.serializer())
+        post(peer, HOLD_PATH, message, HoldCopies.serializer()).whenComplete { answer, _ ->
+            duty.offer(BillingMessage.Copied(batches.map { it.name }, peer.id.takeIf { accepted(answer) }))
+        }
     }
 
-    /** The other routers in the order in which this one asks them to hold copies. */
-    private fun others(members: List<Member>): List<Member> {
-        val candidates = members.filter { it.id != network.self.id }
-        return RendezvousHash.choose("billing-copies/${network.self.id}", candidates, 1) { it.id.value }
+    private fun peerForCopies(): Member? {
+        val others = network.view.members.filter { it.id != network.self.id }
+        return RendezvousHash.choose("billing-copies/${network.self.id}", others, 1) { it.id.value }.firstOrNull()
+    }
+
+    private fun copied(message: BillingMessage.Copied) {
+        asked -= message.names.toSet()
+        message.holder?.let { holder -> message.names.forEach { outbox.copied(it, holder) } }
     }
 
     private fun sendToWriter(batch: SealedBatch) {
@@ -121,24 +143,10 @@
         }
     }
 
-    /** Storing a copy more than once does no harm, so it is offered until its router's end is settled. */
-    private fun storeOrphans() {
-        if (clock.nanos() - orphansAt < 0) return
-        orphansAt = clock.nanos() + ORPHAN_INTERVAL.inWholeNanoseconds
-        val live =
-            network.view.members
-                .map(Member::id)
-                .toSet()
-        val orphans = copies.orphans(live, clock.nanos())
-        if (orphans.isEmpty()) return
-        LogEvent.BILLING_ORPHANS_TAKEN.log(logger) { "batches=${orphans.size}" }
-        orphans.forEach { writer.offer(it) }
-    }
-
     /** Runs on the writer's thread. */
     private fun stored(names: List<BatchName>) {
         duty.offer(BillingMessage.Stored(names))
-        duty.offer(BillingMessage.Held(HoldCopy(released = names)))
+        duty.offer(BillingMessage.Held(HoldCopies(released = names)))
         val byAsker = names.mapNotNull { name -> askedBy.remove(name)?.let { it to name } }
         byAsker.groupBy({ it.first }, { it.second }).forEach { (asker, theirs) ->
             post(asker, STORED_PATH, BatchesStored(theirs), BatchesStored.serializer())
@@ -150,13 +158,18 @@
         path: String,
         message: M,
         serializer: KSerializer<M>,
-    ) {
+    ): CompletableFuture<Either<PeerError, String>> =
         network.transport.post(to, path, PeerProtocol.json.encodeToString(serializer, message))
+
+    private fun accepted(answer: Either<PeerError, String>?): Boolean {
+        val text = answer?.getOrNull() ?: return false
+        return PeerProtocol.json.decodeFromString(BillingAccepted.serializer(), text).accepted
     }
 
     private fun answerHold(body: String): String {
-        val message = PeerProtocol.json.decodeFromString(HoldCopy.serializer(), body)
-        return accepted(duty.offer(BillingMessage.Held(message)))
+        val message = PeerProtocol.json.decodeFromString(HoldCopies.serializer(), body)
+        val room = copies.records + message.batches.sumOf { it.records.size } <= mostCopies
+        return accepted(room && duty.offer(BillingMessage.Held(message)))
     }
 
     private fun answerStore(body: String): String {
@@ -198,7 +211,6 @@
         const val RELEASED_AT_ONCE = 16
         const val MOST_ASKERS = 20_000
         val TICK = 50.milliseconds
-        val ORPHAN_INTERVAL = 5.seconds
         val CLOSE_PATIENCE = 3_000.milliseconds
     }
 }
--- a/router/src/main/kotlin/dev/almondhaven/router/billing/BillingMessages.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/billing/BillingMessages.kt
@@ -4,12 +4,13 @@
 import dev.almondhaven.billing.BillingRecord
 import dev.almondhaven.billing.SealedBatch
 import dev.almondhaven.decision.membership.Member
+import dev.almondhaven.model.RouterId
 import kotlinx.serialization.Serializable
 
-/** Asks a peer to hold a copy of [batch] until it is released, and to drop those in [released]. */
+/** Asks a peer to hold copies of [batches] until they are released, and to drop those in [released]. */
 @Serializable
-internal data class HoldCopy(
-    val batch: SealedBatch? = null,
+internal data class HoldCopies(
+    val batches: List<SealedBatch> = emptyList(),
     val released: List<BatchName> = emptyList(),
 )
 
@@ -39,13 +40,19 @@
     ) : BillingMessage
 
     data class Held(
-        val message: HoldCopy,
+        val message: HoldCopies,
     ) : BillingMessage
 
     data class Stored(
         val names: List<BatchName>,
     ) : BillingMessage
 
+    /** [holder] has copies of the batches [names]; null if it didn't take them. */
+    data class Copied(
+        val names: List<BatchName>,
+        val holder: RouterId?,
+    ) : BillingMessage
+
     /** Seal what is open at once. */
     data object Flush : BillingMessage
 }
