--- a/router/src/main/kotlin/dev/almondhaven/router/Router.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/Router.kt
@@ -22,14 +22,15 @@
 import dev.almondhaven.router.endpoint.Dispatcher
 import dev.almondhaven.router.endpoint.EndpointClients
 import dev.almondhaven.router.filter.AdmissionFilter
+import dev.almondhaven.router.filter.DomainServiceFilter
 import dev.almondhaven.router.filter.EndpointChoiceFilter
 import dev.almondhaven.router.filter.IdentifyFilter
-import dev.almondhaven.router.filter.ModelChoiceFilter
 import dev.almondhaven.router.filter.ModelListFilter
 import dev.almondhaven.router.filter.ParseFilter
 import dev.almondhaven.router.filter.RequestHandler
 import dev.almondhaven.router.filter.filterChain
 import dev.almondhaven.router.peer.PeerNetwork
+import dev.almondhaven.router.session.Sessions
 import dev.almondhaven.router.settings.RouterSettings
 import dev.almondhaven.router.settings.socketAddress
 import io.github.oshai.kotlinlogging.KotlinLogging
@@ -59,9 +60,12 @@
     private val clients = EndpointClients(workers)
     private val peers = PeerNetwork.open(settings.peers, settings.process.failureDomain)
     private val objects = guardedObjects(platform, settings.platform, clock, metrics) { peers.view.members.size }
+    private val sessions = Sessions(settings.sessions, peers)
     private val watcher = ConfigurationWatcher(objects, holder, settings.platform.watchWait)
     private val billing = Billing(settings.billing, objects, clock, peers, metrics)
     private val claims = Claims(settings.claims, objects, clock, peers)
+    private val choice =
+        ModelChoice(holder, peers.self.id, settings.choice, clock, routers = { peers.view.members.size })
     private val server = buildServer()
 
     @Volatile
@@ -78,7 +82,12 @@
             holder.index.generation.value
                 .toDouble()
         }
+        metrics.gauge("almondhaven_sessions_remembered", "Sessions known by their id that this router remembers.") {
+            sessions.remembered.toDouble()
+        }
         watcher.start()
+        choice.topics.forEach { peers.topics.register(it) }
+        choice.start()
         server.start().join()
         LogEvent.ROUTER_STARTED.log(logger) { "port=$port domain=${settings.process.failureDomain}" }
     }
@@ -87,15 +96,17 @@
         filterChain(
             listOf(
                 RepeatOutcomeFilter,
+                DomainServiceFilter(holder, settings.process.failureDomain),
                 IdentifyFilter(holder),
                 ParseFilter(holder),
                 ModelListFilter(holder),
+                sessions.filter(holder),
                 AdmissionFilter(settings.requests.inFlight),
                 claims.filter,
-                ModelChoiceFilter(holder),
+                choice.filter(),
                 EndpointChoiceFilter(holder, settings.process.failureDomain),
             ),
-            Dispatcher(holder, clients, clock, settings.claims.runLimit),
+            Dispatcher(holder, choice.policy, clients, clock, settings.claims.runLimit),
         )
 
     private fun buildServer(): Server =
@@ -108,7 +119,7 @@
             .maxRequestLength(settings.requests.bodyBytes)
             .gracefulShutdownTimeoutMillis(QUIET_PERIOD.inWholeMilliseconds, DRAIN_TIMEOUT.inWholeMilliseconds)
             .service("/health/live", HttpService { _, _ -> HttpResponse.of(HttpStatus.OK) })
-            .service("/health/ready", HealthCheckService.of(HealthChecker { holder.configured && !draining }))
+            .service("/health/ready", HealthCheckService.of(HealthChecker { takesWork() }))
             .service("/metrics", HttpService { _, _ -> metricsResponse() })
             .service(
                 "prefix:/",
@@ -121,6 +132,9 @@
                 ),
             ).build()
 
+    private fun takesWork(): Boolean =
+        holder.configured && !draining && holder.index.inService(settings.process.failureDomain)
+
     private fun metricsResponse(): HttpResponse =
         HttpResponse.of(HttpStatus.OK, MediaType.PLAIN_TEXT_UTF_8, metrics.text())
 
@@ -133,6 +147,7 @@
         billing.close()
         watcher.close()
         peers.close()
+        choice.close()
         clients.close()
         workers.shutdownGracefully(0, 0, TimeUnit.SECONDS)
         LogEvent.ROUTER_STOPPED.log(logger)
--- a/router/src/main/kotlin/dev/almondhaven/router/settings/RouterSettings.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/settings/RouterSettings.kt
@@ -70,9 +70,11 @@
     public val process: ProcessSettings,
     public val platform: PlatformSettings,
     public val requests: RequestSettings = RequestSettings(),
+    public val sessions: SessionSettings = SessionSettings(),
     public val claims: ClaimSettings = ClaimSettings(),
     public val billing: BillingSettings = BillingSettings(),
     public val peers: PeerSettings? = null,
+    public val choice: ChoiceSettings = ChoiceSettings(),
 ) {
     /** Everything that is wrong with the values themselves. */
     internal fun problems(): List<Problem> =
@@ -86,6 +88,7 @@
             }
             if (requests.bodyBytes <= 0) add(Problem("requests.bodyBytes", "${requests.bodyBytes}", "1 or more"))
             if (requests.inFlight <= 0) add(Problem("requests.inFlight", "${requests.inFlight}", "1 or more"))
+            addAll(choice.problems())
             addAll(positive("platform.callTimeout", platform.callTimeout))
             addAll(positive("platform.watchWait", platform.watchWait))
             addAll(positive("platform.writesPerSecond", platform.writesPerSecond))
@@ -97,6 +100,7 @@
             addAll(positive("claims.runLimit", claims.runLimit))
             addAll(positive("claims.relayTimeout", claims.relayTimeout))
             addAll(positive("requests.requestTimeout", requests.requestTimeout))
+            addAll(sessions.problems())
             peers?.let { addAll(it.problems()) }
         }
 
--- /dev/null
+++ b/router/src/test/kotlin/dev/almondhaven/router/claim/ClaimPeersTest.kt
@@ -0,0 +1,128 @@
+package dev.almondhaven.router.claim
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import dev.almondhaven.decision.claim.AttemptLedger
+import dev.almondhaven.decision.claim.AttemptStatus
+import dev.almondhaven.decision.claim.ClaimOperation
+import dev.almondhaven.decision.claim.ClaimShard
+import dev.almondhaven.decision.claim.ClaimVerdict
+import dev.almondhaven.decision.claim.Digest
+import dev.almondhaven.decision.claim.ShardWriterLimits
+import dev.almondhaven.decision.membership.FixedFleetView
+import dev.almondhaven.decision.membership.Member
+import dev.almondhaven.model.FailureDomainId
+import dev.almondhaven.model.NanoClock
+import dev.almondhaven.model.RouterId
+import dev.almondhaven.platform.FaultyObjectStore
+import dev.almondhaven.platform.InMemoryObjectStore
+import dev.almondhaven.platform.ObjectStoreFaults
+import dev.almondhaven.router.peer.PeerError
+import dev.almondhaven.router.peer.PeerHandlers
+import dev.almondhaven.router.peer.PeerTransport
+import org.junit.jupiter.api.AfterAll
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.TestInstance
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNull
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.ConcurrentHashMap
+import kotlin.time.Duration.Companion.milliseconds
+
+@TestInstance(TestInstance.Lifecycle.PER_CLASS)
+class ClaimPeersTest {
+    private val objects =
+        FaultyObjectStore(InMemoryObjectStore(), 1, ObjectStoreFaults(lostAnswers = 0.3, staleReads = 0.2))
+    private val members = List(3) { Member(RouterId("router-$it"), FailureDomainId("west"), "10.0.0.$it:1") }
+    private val cut = ConcurrentHashMap.newKeySet<RouterId>()
+    private val routers = members.map { TestRouter(it) }
+
+    private inner class TestRouter(
+        val self: Member,
+    ) : PeerTransport {
+        val handlers = PeerHandlers()
+        val ledger = AttemptLedger(self.id)
+        val writers =
+            ClaimWriters(objects, ShardWriterLimits(writeInterval = 5.milliseconds), NanoClock.SYSTEM) { 0 }
+        val peers =
+            ClaimPeers({ FixedFleetView(self, members) }, this, writers, ledger, NanoClock.SYSTEM, 200.milliseconds)
+                .also { it.register(handlers) }
+
+        override fun post(
+            to: Member,
+            path: String,
+            body: String,
+        ): CompletableFuture<Either<PeerError, String>> {
+            if (to.id in cut || self.id in cut) {
+                return CompletableFuture.completedFuture(PeerError.NotSent("cut").left())
+            }
+            val handler = checkNotNull(routers.first { it.self.id == to.id }.handlers.of(path)) { "no $path" }
+            return CompletableFuture.supplyAsync { handler.handle(body).right() }
+        }
+    }
+
+    @AfterAll
+    fun stop() {
+        routers.forEach { it.writers.close() }
+    }
+
+    private fun claim(
+        router: TestRouter,
+        key: String,
+    ): ClaimVerdict {
+        val attempt = router.ledger.open(Long.MAX_VALUE)
+        val operation = ClaimOperation.Claim(Digest(key), attempt, Digest("body"), at = 0)
+        return router.peers.settle(ClaimShard("claims/undated/1"), operation).join()
+    }
+
+    private fun grants(
+        prefix: String,
+        keys: Int,
+    ): List<Int> =
+        (1..keys).map { number ->
+            routers
+                .map { CompletableFuture.supplyAsync { claim(it, "$prefix$number") } }
+                .count { it.join() == ClaimVerdict.Granted }
+        }
+
+    @Nested
+    inner class `a key claimed by every router at once` {
+        @Test
+        fun `is granted once through the shard's owner`() {
+            expectThat(grants("together", 20)).isEqualTo(List(20) { 1 })
+        }
+
+        @Test
+        fun `is granted once while routers are cut from each other`() {
+            cut += members.map { it.id }
+            val granted = grants("cut", 10)
+            cut.clear()
+
+            expectThat(granted).isEqualTo(List(10) { 1 })
+        }
+    }
+
+    @Nested
+    inner class `the holder of an attempt` {
+        private val attempt = routers[0].ledger.open(System.nanoTime() + 60_000_000_000)
+
+        @Test
+        fun `tells whoever asks`() {
+            expectThat(routers[1].peers.ask(attempt).join()).isEqualTo(AttemptStatus.Pending)
+            routers[0].ledger.void(attempt)
+            expectThat(routers[2].peers.ask(attempt).join()).isEqualTo(AttemptStatus.Void)
+        }
+
+        @Test
+        fun `that is cut off gives no status`() {
+            cut += members[0].id
+            val status = routers[1].peers.ask(attempt).join()
+            cut.clear()
+
+            expectThat(status).isNull()
+        }
+    }
+}
