--- a/router/src/main/kotlin/dev/almondhaven/router/Router.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/Router.kt
@@ -13,10 +13,13 @@
 import dev.almondhaven.model.NanoClock
 import dev.almondhaven.platform.HttpObjectStore
 import dev.almondhaven.platform.ObjectStore
+import dev.almondhaven.router.billing.Billing
+import dev.almondhaven.router.billing.BillingTap
 import dev.almondhaven.router.claim.Claims
 import dev.almondhaven.router.claim.RepeatOutcomeFilter
 import dev.almondhaven.router.controller.CatalogueHolder
 import dev.almondhaven.router.controller.ConfigurationWatcher
+import dev.almondhaven.router.controller.guardedObjects
 import dev.almondhaven.router.endpoint.Dispatcher
 import dev.almondhaven.router.endpoint.EndpointClients
 import dev.almondhaven.router.endpoint.EndpointDirectory
@@ -60,7 +63,7 @@
  */
 public class Router private constructor(
     private val settings: RouterSettings,
-    objects: ObjectStore,
+    platform: ObjectStore,
 ) : AutoCloseable {
     private val clock = NanoClock.SYSTEM
     private val metrics = RouterMetrics()
@@ -70,6 +73,7 @@
     private val workers = EndpointClients.newWorkers(Runtime.getRuntime().availableProcessors())
     private val clients = EndpointClients(workers, settings.endpoints.connectTimeout, settings.endpoints.pingInterval)
     private val peers = PeerNetwork.open(settings.peers, settings.process.failureDomain)
+    private val objects = guardedObjects(platform, settings.platform, clock, metrics) { peers.view.members.size }
     private val sessions = Sessions(settings.sessions, peers)
     private val directory = EndpointDirectory(holder, peers.view, clock)
     private val waitingRoom = WaitingRoom(clock)
@@ -79,6 +83,7 @@
     private val watcher =
         ConfigurationWatcher(objects, holder, freshness, peers.view, settings.platform.watchWait, newRandom())
     private val status = StatusReporter(peers, holder, freshness, clock, Lifecycle())
+    private val billing = Billing(settings.billing, objects, clock, peers, metrics)
     private val claims = Claims(settings.claims, objects, clock, peers)
     private val choice =
         ModelChoice(holder, peers.self.id, settings.choice, clock, routers = { peers.view.members.size })
@@ -166,8 +171,16 @@
             .service("/health/live", HttpService { _, _ -> HttpResponse.of(HttpStatus.OK) })
             .service("/health/ready", HealthCheckService.of(HealthChecker { takesWork() }))
             .service("/metrics", HttpService { _, _ -> metricsResponse() })
-            .service("prefix:/", CallerService(chain(), metrics, settings.requests.requestTimeout, clock))
-            .build()
+            .service(
+                "prefix:/",
+                CallerService(
+                    chain(),
+                    metrics,
+                    BillingTap(holder, billing::offer),
+                    settings.requests.requestTimeout,
+                    clock,
+                ),
+            ).build()
 
     private fun takesWork(): Boolean =
         holder.configured && !draining && holder.index.inService(settings.process.failureDomain)
@@ -182,6 +195,7 @@
         peerController?.close()
         server.stop().join()
         claims.close()
+        billing.close()
         watcher.close()
         loadReports.close()
         waitingRoom.close()
--- a/router/src/main/kotlin/dev/almondhaven/router/filter/RequestJournal.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/filter/RequestJournal.kt
@@ -6,6 +6,7 @@
 import dev.almondhaven.model.Outcome
 import dev.almondhaven.model.Refusal
 import java.util.concurrent.CompletableFuture
+import java.util.concurrent.atomic.AtomicBoolean
 import java.util.concurrent.atomic.AtomicInteger
 
 /** Tokens that an answer cost. */
@@ -143,6 +144,8 @@
     }
 
     private val ended = CompletableFuture<Unit>()
+    private val endRecorded = AtomicBoolean()
+    private val holds = AtomicInteger(1)
 
     /** Whether the request has ended. */
     public val hasEnded: Boolean get() = ended.isDone
@@ -154,7 +157,18 @@
 
     /** Notes that the request has ended; only the first call has an effect. */
     public fun recordEnd() {
-        ended.complete(Unit)
+        if (endRecorded.compareAndSet(false, true)) release()
+    }
+
+    /** Puts the end of the request off until the returned function is called, as long as the request hasn't ended. */
+    public fun hold(): () -> Unit {
+        holds.incrementAndGet()
+        val released = AtomicBoolean()
+        return { if (released.compareAndSet(false, true)) release() }
+    }
+
+    private fun release() {
+        if (holds.decrementAndGet() == 0) ended.complete(Unit)
     }
 
     /** The outcome of an error: `not_run` only as long as nothing was dispatched. */
