--- a/model/src/main/kotlin/dev/almondhaven/model/LogEvent.kt
+++ b/model/src/main/kotlin/dev/almondhaven/model/LogEvent.kt
@@ -35,6 +35,9 @@
     CONFIGURATION_STALE(2205, Level.WARN, "Nobody within reach has confirmed the configuration with the platform."),
     CONFIGURATION_CONFIRMED(2206, Level.INFO, "The configuration is confirmed by the platform again."),
     CONFIGURATION_DIVERGENT(2207, Level.ERROR, "Another catalogue has the generation in force; it was ignored."),
+    VERSION_QUARANTINED(3001, Level.WARN, "A version turned out bad and gets no new sessions; the evidence is given."),
+    RATINGS_UNAVAILABLE(3002, Level.WARN, "The rating service does not answer; choices go on with what is known."),
+    RATINGS_DISTRUSTED(3003, Level.WARN, "Most versions' ratings fell at once; those ratings are left out."),
 
     SESSION_MOVED(3101, Level.INFO, "A session moved to the successor of its withdrawn version."),
     SESSION_TOKEN_REFUSED(3102, Level.WARN, "A session token did not verify."),
--- a/model/src/main/kotlin/dev/almondhaven/model/ResultCode.kt
+++ b/model/src/main/kotlin/dev/almondhaven/model/ResultCode.kt
@@ -26,6 +26,9 @@
     DOMAIN_OUT_OF_SERVICE(2002, 503, "Operators have taken this router's failure domain out; another router serves."),
 
     NO_MODEL_ALLOWED(3001, 403, "No model is in service that the organisation may use."),
+    TARGET_MISSED(3002, 503, "No allowed plan reaches the organisation's quality target, and its rule is to refuse."),
+    VERSION_QUARANTINED(3003, 503, "The version went into quarantine before the request was sent."),
+    PROMPT_TOO_LONG(3004, 413, "The prompt is longer than every allowed version accepts."),
     SESSION_TOKEN_INVALID(3101, 400, "The session token is forged, damaged, of another organisation or too old."),
     SESSION_VERSION_WITHDRAWN(3102, 409, "The session's version is withdrawn and has no usable successor."),
     SESSION_VERSION_NOT_ALLOWED(3103, 403, "The organisation may no longer use the session's version."),
--- a/router/src/main/kotlin/dev/almondhaven/router/Router.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/Router.kt
@@ -22,7 +22,6 @@
 import dev.almondhaven.router.filter.DomainServiceFilter
 import dev.almondhaven.router.filter.EndpointChoiceFilter
 import dev.almondhaven.router.filter.IdentifyFilter
-import dev.almondhaven.router.filter.ModelChoiceFilter
 import dev.almondhaven.router.filter.ModelListFilter
 import dev.almondhaven.router.filter.ParseFilter
 import dev.almondhaven.router.filter.RequestHandler
@@ -60,6 +59,8 @@
     private val sessions = Sessions(settings.sessions, peers)
     private val watcher = ConfigurationWatcher(objects, holder, settings.platform.watchWait)
     private val claims = Claims(settings.claims, objects, clock, peers)
+    private val choice =
+        ModelChoice(holder, peers.self.id, settings.choice, clock, routers = { peers.view.members.size })
     private val server = buildServer()
 
     @Volatile
@@ -80,6 +81,8 @@
             sessions.remembered.toDouble()
         }
         watcher.start()
+        choice.topics.forEach { peers.topics.register(it) }
+        choice.start()
         server.start().join()
         LogEvent.ROUTER_STARTED.log(logger) { "port=$port domain=${settings.process.failureDomain}" }
     }
@@ -95,10 +98,10 @@
                 sessions.filter(holder),
                 AdmissionFilter(settings.requests.inFlight),
                 claims.filter,
-                ModelChoiceFilter(holder),
+                choice.filter(),
                 EndpointChoiceFilter(holder, settings.process.failureDomain),
             ),
-            Dispatcher(holder, clients, clock, settings.claims.runLimit),
+            Dispatcher(holder, choice.policy, clients, clock, settings.claims.runLimit),
         )
 
     private fun buildServer(): Server =
@@ -130,6 +133,7 @@
         claims.close()
         watcher.close()
         peers.close()
+        choice.close()
         clients.close()
         workers.shutdownGracefully(0, 0, TimeUnit.SECONDS)
         LogEvent.ROUTER_STOPPED.log(logger)
--- a/router/src/main/kotlin/dev/almondhaven/router/settings/RouterSettings.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/settings/RouterSettings.kt
@@ -69,6 +69,7 @@
     public val sessions: SessionSettings = SessionSettings(),
     public val claims: ClaimSettings = ClaimSettings(),
     public val peers: PeerSettings? = null,
+    public val choice: ChoiceSettings = ChoiceSettings(),
 ) {
     /** Everything that is wrong with the values themselves. */
     internal fun problems(): List<Problem> =
@@ -82,6 +83,7 @@
             }
             if (requests.bodyBytes <= 0) add(Problem("requests.bodyBytes", "${requests.bodyBytes}", "1 or more"))
             if (requests.inFlight <= 0) add(Problem("requests.inFlight", "${requests.inFlight}", "1 or more"))
+            addAll(choice.problems())
             addAll(positive("platform.callTimeout", platform.callTimeout))
             addAll(positive("platform.watchWait", platform.watchWait))
             addAll(positive("claims.writeInterval", claims.writeInterval))
