--- /dev/null
+++ b/operator/src/main/kotlin/dev/almondhaven/operator/HistoryCommands.kt
@@ -0,0 +1,86 @@
+package dev.almondhaven.operator
+
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.parameters.groups.provideDelegate
+import com.github.ajalt.clikt.parameters.options.default
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.types.int
+import com.github.ajalt.clikt.parameters.types.restrictTo
+import dev.almondhaven.catalogue.ConfigurationEntry
+import dev.almondhaven.model.ResultCode
+import dev.almondhaven.platform.ConfigurationRecord
+import kotlinx.serialization.builtins.ListSerializer
+import java.time.Instant
+
+/** Lists the newest accepted entries. */
+internal class NoteHistoryCommand : CliktCommand(name = "history") {
+    private val platform by PlatformOptions()
+    private val output by outputOption()
+    private val last by option(help = "How many entries, newest last.").int().restrictTo(min = 1).default(DEFAULT_LAST)
+
+    override fun help(context: Context): String =
+        """
+        Lists the newest accepted entries: when, who, from where, what and why.
+
+        Example: almondhaven note history --last 5
+        """.trimIndent()
+
+    override fun run() {
+        val records = platform.auditReport().records.takeLast(last)
+        when (output) {
+            Output.TEXT -> records.forEach { echo(it.line()) }
+            Output.JSON -> echo(OUTPUT_JSON.encodeToString(ListSerializer(ConfigurationRecord.serializer()), records))
+        }
+    }
+
+    private companion object {
+        const val DEFAULT_LAST = 20
+    }
+}
+
+/** Prints and verifies the whole audit trail. */
+internal class AuditCommand : CliktCommand(name = "audit") {
+    private val platform by PlatformOptions()
+    private val output by outputOption()
+
+    override fun help(context: Context): String =
+        """
+        Prints every accepted entry (when, who, from where, what, why) and verifies the chain of hashes.
+
+        Exit code 6 means that an entry was altered or is missing.
+
+        Example: almondhaven audit --output json
+        """.trimIndent()
+
+    override fun run() {
+        val report = platform.auditReport()
+        when (output) {
+            Output.TEXT -> {
+                report.records.forEach { echo(it.line()) }
+            }
+
+            Output.JSON -> {
+                echo(
+                    OUTPUT_JSON.encodeToString(ListSerializer(ConfigurationRecord.serializer()), report.records),
+                )
+            }
+        }
+        if (report.faults.isNotEmpty()) throw auditBroken(report.faults)
+        val kept = if (report.awaitsObject) "; the newest is kept by the next publication" else ""
+        echo("${report.records.size} entries, the chain of hashes is whole$kept", err = output == Output.JSON)
+    }
+}
+
+internal fun ConfigurationRecord.line(): String =
+    "$generation  ${Instant.ofEpochMilli(acceptedAt)}  $author@$from  ${entry.summary()}  ${entry.reason}"
+
+private fun ConfigurationEntry.summary(): String =
+    when (this) {
+        is ConfigurationEntry.NotePublished -> "note $id"
+        is ConfigurationEntry.DomainTakenOut -> "domain $domain taken out ($id)"
+        is ConfigurationEntry.DomainReturned -> "domain $domain returned ($id)"
+    }
+
+internal fun auditBroken(faults: List<Any>) =
+    failure(ResultCode.AUDIT_BROKEN, faults.joinToString("") { "\n  $it" }, ExitCode.AUDIT_BROKEN)
--- a/operator/src/main/kotlin/dev/almondhaven/operator/OperatorFailure.kt
+++ b/operator/src/main/kotlin/dev/almondhaven/operator/OperatorFailure.kt
@@ -2,6 +2,7 @@
 
 import com.github.ajalt.clikt.core.CliktError
 import dev.almondhaven.model.ResultCode
+import dev.almondhaven.platform.ConfigurationRecord
 import dev.almondhaven.platform.ObjectStore
 import dev.almondhaven.platform.PublishError
 import dev.almondhaven.settings.Problem
@@ -47,10 +48,15 @@
 internal fun unavailable(detail: String): CliktError =
     failure(ResultCode.PLATFORM_UNAVAILABLE, detail, ExitCode.UNAVAILABLE)
 
-private fun conflict(conflict: PublishError.Conflict): CliktError {
+/** A conflict with what changed meanwhile and the [records] that changed it. */
+internal fun conflict(
+    conflict: PublishError.Conflict,
+    records: List<ConfigurationRecord> = emptyList(),
+): CliktError {
+    val text = "generation ${conflict.found} is in force instead of ${conflict.expected}; nothing was published."
+    val entries = records.joinToString("") { "\n  ${it.line()}" }
     val changes = conflict.changes.joinToString("") { "\n  $it" }
-    val text = "generation ${conflict.found} was accepted after ${conflict.expected} was read; nothing was published."
-    return failure(ResultCode.PUBLISH_CONFLICT, "$text Changed meanwhile:$changes", ExitCode.CONFLICT)
+    return failure(ResultCode.PUBLISH_CONFLICT, "$text Accepted meanwhile:$entries$changes", ExitCode.CONFLICT)
 }
 
 private fun idReused(reused: PublishError.IdReused): CliktError {
--- /dev/null
+++ b/operator/src/test/kotlin/dev/almondhaven/operator/ReplaceableObjectStore.kt
@@ -0,0 +1,38 @@
+package dev.almondhaven.operator
+
+import dev.almondhaven.platform.ObjectKey
+import dev.almondhaven.platform.ObjectStore
+import dev.almondhaven.platform.ObjectVersion
+import dev.almondhaven.platform.Revision
+import dev.almondhaven.platform.WriteCondition
+import kotlin.time.Duration
+
+/** Passes every call on to the store that [current] names at that moment. */
+internal class ReplaceableObjectStore(
+    private val current: () -> ObjectStore,
+) : ObjectStore {
+    override fun get(key: ObjectKey) = current().get(key)
+
+    override fun put(
+        key: ObjectKey,
+        value: String,
+        condition: WriteCondition,
+    ) = current().put(key, value, condition)
+
+    override fun delete(
+        key: ObjectKey,
+        version: ObjectVersion,
+    ) = current().delete(key, version)
+
+    override fun list(
+        prefix: String,
+        after: ObjectKey?,
+        limit: Int,
+    ) = current().list(prefix, after, limit)
+
+    override fun watch(
+        prefix: String,
+        after: Revision,
+        wait: Duration,
+    ) = current().watch(prefix, after, wait)
+}
