--- a/router/src/test/kotlin/dev/almondhaven/router/peer/FleetTest.kt
+++ b/router/src/test/kotlin/dev/almondhaven/router/peer/FleetTest.kt
@@ -116,7 +116,7 @@
     private fun publish(id: String): Generation {
         val domains = FailureDomainChanges(added = listOf(FailureDomain(FailureDomainId(id), RegionId("wales"))))
         val entry = ConfigurationEntry.NotePublished(ReleaseNote(NoteId(id), "test", failureDomains = domains))
-        return ConfigurationStore(objects).publish(entry, Publisher("test", 0, "test")).getOrNull()!!
+        return ConfigurationStore(objects).publish(entry, Publisher("test", 0, "test")).getOrNull()!!.generation
     }
 
     @AfterAll
