--- a/experiments/src/main/kotlin/dev/almondhaven/experiments/Experiments.kt
+++ b/experiments/src/main/kotlin/dev/almondhaven/experiments/Experiments.kt
@@ -1,5 +1,7 @@
 package dev.almondhaven.experiments
 
+import dev.almondhaven.experiments.capacity.RouterCostExperiment
+import dev.almondhaven.experiments.deployment.DeploymentsExperiment
 import dev.almondhaven.experiments.distribution.DistributionExperiment
 import dev.almondhaven.experiments.distribution.MembershipExperiment
 import dev.almondhaven.experiments.overhead.OverheadExperiment
@@ -12,5 +14,7 @@
             OverheadExperiment(),
             MembershipExperiment(),
             DistributionExperiment(),
+            DeploymentsExperiment(),
+            RouterCostExperiment(),
         )
 }
--- /dev/null
+++ b/experiments/src/main/kotlin/dev/almondhaven/experiments/capacity/ProcessCost.kt
@@ -0,0 +1,22 @@
+package dev.almondhaven.experiments.capacity
+
+import java.io.File
+import kotlin.jvm.optionals.getOrNull
+import kotlin.time.Duration
+import kotlin.time.toKotlinDuration
+
+/** What a process has cost so far, as the kernel counts it (`/proc` on Linux). */
+public object ProcessCost {
+    /** Processor time of [process] since its start. */
+    public fun processorTime(process: ProcessHandle): Duration =
+        checkNotNull(process.info().totalCpuDuration().getOrNull()) { "no processor time for ${process.pid()}" }
+            .toKotlinDuration()
+
+    /** Resident memory of [process] in bytes. */
+    public fun residentBytes(process: ProcessHandle): Long {
+        val line = File("/proc/${process.pid()}/status").readLines().first { it.startsWith("VmRSS:") }
+        return line.filter { it.isDigit() }.toLong() * BYTES_PER_KIB
+    }
+
+    private const val BYTES_PER_KIB = 1_024L
+}
--- /dev/null
+++ b/experiments/src/main/kotlin/dev/almondhaven/experiments/deployment/Caller.kt
@@ -0,0 +1,178 @@
+package dev.almondhaven.experiments.deployment
+
+import com.linecorp.armeria.common.AggregatedHttpResponse
+import com.linecorp.armeria.common.HttpData
+import com.linecorp.armeria.common.HttpMethod
+import com.linecorp.armeria.common.HttpRequest
+import com.linecorp.armeria.common.MediaType
+import com.linecorp.armeria.common.RequestHeaders
+import dev.almondhaven.catalogue.Organisation
+import dev.almondhaven.router.ErrorBody
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import java.util.concurrent.CompletionException
+import kotlin.random.Random
+
+/**
+ * One simulated caller of an organisation: it asks, waits for the answer and judges whether it is whole and its own.
+ */
+public class Caller(
+    private val organisation: Organisation,
+    private val service: ServicePaths,
+    private val balancer: Balancer,
+    private val random: Random,
+    private val record: (CallRecord) -> Unit,
+) {
+    private var session: String? = null
+    private var sessionName = ""
+    private var turnsLeft = 0
+
+    /** Makes one call, chosen at random: model requests, a look-up or an order. */
+    public fun callOnce() {
+        when (random.nextInt(MIX)) {
+            in 0 until STREAMED_SHARE -> modelCall(CallKind.STREAMED)
+            in STREAMED_SHARE until WHOLE_SHARE -> modelCall(CallKind.WHOLE)
+            in WHOLE_SHARE until LOOKUP_SHARE -> lookup()
+            else -> order()
+        }
+    }
+
+    private fun modelCall(kind: CallKind) {
+        val address = balancer.pick(random) ?: return
+        if (turnsLeft == 0) beginSession()
+        val marker = marker()
+        val tokens = random.nextInt(2, MAXIMUM_TOKENS)
+        val body = ModelRequestText.of(marker, tokens, streamed = kind == CallKind.STREAMED)
+        val headers = headers(HttpMethod.POST, "/v1/chat/completions")
+        session?.let { headers.set("x-session-token", it) }
+        val request = HttpRequest.of(headers.build(), HttpData.ofUtf8(body))
+        val call = send(kind, address, request) { AnswerCheck.problem(kind, it, marker, tokens) }
+        turnsLeft--
+        record(call.copy(session = sessionName))
+    }
+
+    private fun beginSession() {
+        session = null
+        sessionName = marker()
+        turnsLeft = random.nextInt(1, LONGEST_SESSION)
+    }
+
+    private fun lookup() {
+        val address = balancer.pick(random) ?: return
+        val request = HttpRequest.of(headers(HttpMethod.GET, service.lookup).build())
+        record(send(CallKind.LOOKUP, address, request) { null })
+    }
+
+    private fun order() {
+        val key = marker()
+        val twice = random.nextInt(TWICE_ONE_IN) == 0
+        val first = balancer.pick(random) ?: return
+        if (twice) balancer.pick(random)?.let { placeOrder(it, key) }
+        var last = placeOrder(first, key)
+        var retries = 0
+        while (last.end == CallEnd.CONNECTION_LOST && retries < ORDER_RETRIES) {
+            retries++
+            last = placeOrder(balancer.pick(random) ?: return, key)
+        }
+    }
+
+    private fun placeOrder(
+        address: String,
+        key: String,
+    ): CallRecord {
+        val headers =
+            headers(HttpMethod.POST, service.order)
+                .set("idempotency-key", key)
+                .set("x-timeout-ms", "$ORDER_TIMEOUT_MILLIS")
+        val request = HttpRequest.of(headers.build(), HttpData.ofUtf8("""{"order":"$key"}"""))
+        val call = send(CallKind.ORDER, address, request) { if (key in it.contentUtf8()) null else "another order" }
+        return call.copy(key = key).also(record)
+    }
+
+    private fun headers(
+        method: HttpMethod,
+        path: String,
+    ) = RequestHeaders
+        .builder(method, path)
+        .contentType(MediaType.JSON)
+        .set("authorization", "Bearer ${SampleDeployment.tokenOf(organisation.id.value)}")
+
+    private fun send(
+        kind: CallKind,
+        address: String,
+        request: HttpRequest,
+        problem: (AggregatedHttpResponse) -> String?,
+    ): CallRecord {
+        val startedAt = System.currentTimeMillis()
+        val started = System.nanoTime()
+        val blank = CallRecord(kind, organisation.id.value, address, startedAt, 0, CallEnd.CONNECTION_LOST)
+        return try {
+            val response =
+                balancer
+                    .client(address)
+                    .execute(request)
+                    .aggregate()
+                    .join()
+            judge(blank, response, problem)
+        } catch (exception: CompletionException) {
+            blank.copy(detail = "${exception.cause}")
+        }.copy(millis = (System.nanoTime() - started) / NANOS_PER_MILLI)
+    }
+
+    private fun judge(
+        blank: CallRecord,
+        response: AggregatedHttpResponse,
+        problem: (AggregatedHttpResponse) -> String?,
+    ): CallRecord {
+        val known =
+            blank.copy(
+                requestId = response.headers().get("x-request-id").orEmpty(),
+                model = response.headers().get("x-almondhaven-model").orEmpty(),
+            )
+        val error = errorOf(response)
+        if (error != null) {
+            return known.copy(
+                end = CallEnd.REFUSED,
+                code = error.error.code,
+                outcome = error.error.outcome,
+                detail = error.error.message,
+            )
+        }
+        response.headers().get("x-session-token")?.let { session = it }
+        val damage = problem(response)
+        return known.copy(end = if (damage == null) CallEnd.ANSWERED else CallEnd.DAMAGED, detail = damage.orEmpty())
+    }
+
+    private fun errorOf(response: AggregatedHttpResponse): ErrorBody? {
+        val text = response.contentUtf8()
+        val json = if (response.status().isSuccess) AnswerCheck.errorEvent(text) else text
+        if (json == null) return null
+        return try {
+            Json.decodeFromString(ErrorBody.serializer(), json)
+        } catch (_: SerializationException) {
+            null
+        }
+    }
+
+    private fun marker(): String = random.nextLong().toULong().toString(MARKER_RADIX)
+
+    private companion object {
+        const val MIX = 100
+        const val STREAMED_SHARE = 45
+        const val WHOLE_SHARE = 75
+        const val LOOKUP_SHARE = 88
+        const val MAXIMUM_TOKENS = 24
+        const val LONGEST_SESSION = 6
+        const val TWICE_ONE_IN = 8
+        const val ORDER_RETRIES = 3
+        const val ORDER_TIMEOUT_MILLIS = 5_000
+        const val MARKER_RADIX = 36
+        const val NANOS_PER_MILLI = 1_000_000L
+    }
+}
+
+/** Paths of a deployment's plain service: one idempotent look-up and one call that must not repeat. */
+public data class ServicePaths(
+    public val lookup: String,
+    public val order: String,
+)
--- /dev/null
+++ b/experiments/src/main/kotlin/dev/almondhaven/experiments/deployment/DeploymentsExperiment.kt
@@ -0,0 +1,68 @@
+package dev.almondhaven.experiments.deployment
+
+import dev.almondhaven.experiments.Experiment
+import dev.almondhaven.experiments.ExperimentReport
+import dev.almondhaven.experiments.ExperimentReport.Companion.number
+import org.HdrHistogram.Histogram
+import java.io.File
+
+/** Both users' deployments as real router processes on loopback, under load and every fault of the brief. */
+public class DeploymentsExperiment : Experiment {
+    override val name: String = "deployments"
+    override val about: String = "Both sample deployments, five router processes each, through a script of faults."
+
+    override fun run(report: ExperimentReport) {
+        report.text("Five router processes a deployment, $CALLERS callers; the stand-ins' own records are the truth.")
+        SampleDeployment.all(File("examples")).forEach { sample ->
+            val logs = File(".try/deployments-${sample.name}")
+            val run = DeploymentRun(sample, ProcessRouter.starter(logs), FaultScripts.FULL, CALLERS, SEED)
+            write(report, sample, run.execute())
+        }
+    }
+
+    private fun write(
+        report: ExperimentReport,
+        sample: SampleDeployment,
+        result: DeploymentResult,
+    ) {
+        val findings = result.findings.map { listOf(it.promise, "${it.violations.size}") }
+        report.table("${sample.name}: promises", listOf("promise", "violations"), findings)
+        val examples = result.findings.flatMap { finding -> finding.violations.take(EXAMPLES).map { "- $it" } }
+        if (examples.isNotEmpty()) report.text(examples.joinToString("\n"))
+        report.table("${sample.name}: calls", CALL_COLUMNS, CallKind.entries.map { callRow(it, result.observations) })
+        report.table("${sample.name}: refusals", listOf("code", "outcome", "calls"), refusals(result.observations))
+        val steps = FaultScripts.FULL.steps.map { listOf("${it.at}", it.name) }
+        report.table("${sample.name}: script", listOf("at", "what happens"), steps)
+    }
+
+    private fun callRow(
+        kind: CallKind,
+        seen: Observations,
+    ): List<String> {
+        val calls = seen.calls.filter { it.kind == kind }
+        val latency = Histogram(DIGITS)
+        calls.filter { it.end == CallEnd.ANSWERED }.forEach { latency.recordValue(it.millis) }
+        val ends = CallEnd.entries.map { end -> "${calls.count { it.end == end }}" }
+        val percentiles = listOf(MEDIAN, TAIL).map { number(latency.getValueAtPercentile(it).toDouble(), 0) }
+        return listOf(kind.name.lowercase(), "${calls.size}") + ends + percentiles
+    }
+
+    private fun refusals(seen: Observations): List<List<String>> =
+        seen.calls
+            .filter { it.end == CallEnd.REFUSED }
+            .groupingBy { "${it.code}" to "${it.outcome?.wireName}" }
+            .eachCount()
+            .map { (kind, count) -> listOf(kind.first, kind.second, "$count") }
+            .sortedBy { it.first() }
+
+    private companion object {
+        const val CALLERS = 60
+        const val SEED = 20_261_204L
+        const val EXAMPLES = 5
+        const val DIGITS = 3
+        const val MEDIAN = 50.0
+        const val TAIL = 99.0
+        val CALL_COLUMNS =
+            listOf("kind", "calls") + CallEnd.entries.map { it.name.lowercase() } + listOf("p50 ms", "p99 ms")
+    }
+}
--- /dev/null
+++ b/experiments/src/main/kotlin/dev/almondhaven/experiments/deployment/Verdict.kt
@@ -0,0 +1,131 @@
+package dev.almondhaven.experiments.deployment
+
+import dev.almondhaven.catalogue.Endpoint
+import dev.almondhaven.model.ModelVersionId
+import dev.almondhaven.model.Outcome
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** A promise and what spoke against it; [violations] is empty when it held. */
+public data class Finding(
+    public val promise: String,
+    public val violations: List<String>,
+) {
+    public val held: Boolean get() = violations.isEmpty()
+}
+
+/** Compares what callers were told with what endpoints ran and what was billed. */
+public class Verdict private constructor(
+    private val seen: Observations,
+) {
+    private val orderRuns = seen.serviceRuns.map { it.record }.filter { it.requestId.isNotEmpty() }
+    private val runsByKey = orderRuns.groupBy { it.requestId }
+    private val ordersByKey = seen.calls.filter { it.kind == CallKind.ORDER }.groupBy { it.key }
+    private val endpoints = seen.catalogue.endpoints.associateBy { it.id }
+
+    private fun findings(): List<Finding> =
+        listOf(
+            Finding("a non-idempotent request runs at most once", doubleOrders()),
+            Finding("a refusal that says not run is true", falseRefusals()),
+            Finding("an answered order has run", answeredWithoutRun()),
+            Finding("each answered request is billed", unbilled()),
+            Finding("each request is billed once", billedTwice()),
+            Finding("a request runs only on what its organisation is allowed", disallowedRuns()),
+            Finding("a withdrawn version gets no new work after $BOUND", withdrawnRuns()),
+            Finding("a failure domain taken out gets no new work after $BOUND", runsInOutages()),
+            Finding("each caller gets its own whole answer", damagedAnswers()),
+            Finding("only callers of a killed router lose their connection", lostConnections()),
+            Finding("a session keeps its version", sessionChanges()),
+        )
+
+    private fun doubleOrders(): List<String> =
+        runsByKey.filterValues { it.size > 1 }.map { (key, runs) -> "$key ran ${runs.size} times" }
+
+    private fun falseRefusals(): List<String> =
+        ordersByKey
+            .filterValues { calls -> calls.any { it.outcome == Outcome.NOT_RUN } }
+            .filterKeys { it in runsByKey }
+            .map { (key, calls) -> "$key ran, told ${calls.map { "${it.end} ${it.code} ${it.outcome}" }}" }
+
+    private fun answeredWithoutRun(): List<String> =
+        ordersByKey
+            .filterValues { calls -> calls.any { it.end == CallEnd.ANSWERED } }
+            .keys
+            .filter { it !in runsByKey }
+
+    private fun unbilled(): List<String> {
+        val billed = seen.bills.map { it.requestId }.toSet()
+        return answered().filter { it.requestId !in billed }.map { "${it.kind} ${it.requestId} of ${it.router}" }
+    }
+
+    private fun answered(): List<CallRecord> =
+        seen.calls
+            .filter { it.end == CallEnd.ANSWERED }
+            .groupBy { if (it.key.isEmpty()) it.requestId else it.key }
+            .values
+            .filter { calls -> calls.size == 1 }
+            .map { it.single() }
+
+    private fun billedTwice(): List<String> =
+        seen.bills
+            .groupBy { it.requestId }
+            .filterValues { it.size > 1 }
+            .map { (requestId, bills) -> "$requestId billed ${bills.size} times" }
+
+    private fun disallowedRuns(): List<String> =
+        seen.engineRuns
+            .filterNot { allowed(it.record.organisation, it.record.model) }
+            .map { "${it.record.organisation} ran ${it.record.model} on ${it.endpoint}" }
+
+    private fun allowed(
+        organisation: String,
+        model: String,
+    ): Boolean {
+        val id = ModelVersionId.parseOrNull(model) ?: return false
+        return seen.catalogue.organisations.any { it.id.value == organisation && it.allows(id) }
+    }
+
+    private fun withdrawnRuns(): List<String> =
+        seen.withdrawals.flatMap { withdrawal ->
+            seen.engineRuns
+                .filter { it.record.model == withdrawal.version.toString() }
+                .filter { it.record.arrivedAt > withdrawal.at + BOUND.inWholeMilliseconds }
+                .map { "${withdrawal.version} ran ${it.record.arrivedAt - withdrawal.at} ms after its withdrawal" }
+        }
+
+    private fun runsInOutages(): List<String> =
+        seen.outages.flatMap { outage ->
+            val span = outage.from + BOUND.inWholeMilliseconds..outage.until
+            (seen.engineRuns + seen.serviceRuns)
+                .filter { endpoints[it.endpoint]?.isIn(outage) == true && it.record.arrivedAt in span }
+                .map { "${it.endpoint} got work ${it.record.arrivedAt - outage.from} ms after ${outage.domain} left" }
+        }
+
+    private fun Endpoint.isIn(outage: DomainOutage): Boolean = failureDomain == outage.domain
+
+    private fun damagedAnswers(): List<String> =
+        seen.calls.filter { it.end == CallEnd.DAMAGED }.map { "${it.kind} ${it.requestId}: ${it.detail}" }
+
+    private fun lostConnections(): List<String> =
+        seen.calls
+            .filter { it.end == CallEnd.CONNECTION_LOST && it.router !in seen.killed }
+            .map { "${it.kind} at ${it.router} after ${it.millis} ms: ${it.detail}" }
+
+    private fun sessionChanges(): List<String> {
+        val withdrawn = seen.withdrawals.map { it.version.toString() }.toSet()
+        return seen.calls
+            .filter { it.session.isNotEmpty() && it.end == CallEnd.ANSWERED && it.model !in withdrawn }
+            .groupBy { it.session }
+            .mapValues { (_, calls) -> calls.map { it.model }.distinct() }
+            .filterValues { it.size > 1 }
+            .map { (session, models) -> "$session ran on $models" }
+    }
+
+    public companion object {
+        /** How soon a withdrawal or take-out has to be in force everywhere. */
+        public val BOUND: Duration = 5.seconds
+
+        /** Judges [observations]. */
+        public fun of(observations: Observations): List<Finding> = Verdict(observations).findings()
+    }
+}
--- a/stand-ins/src/main/kotlin/dev/almondhaven/standins/EngineStandIn.kt
+++ b/stand-ins/src/main/kotlin/dev/almondhaven/standins/EngineStandIn.kt
@@ -11,10 +11,12 @@
 import com.linecorp.armeria.server.HttpService
 import com.linecorp.armeria.server.ServerBuilder
 import com.linecorp.armeria.server.ServiceRequestContext
+import dev.almondhaven.model.ModelVersionId
 import kotlinx.serialization.builtins.ListSerializer
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonArray
 import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonObjectBuilder
 import kotlinx.serialization.json.JsonPrimitive
 import kotlinx.serialization.json.booleanOrNull
 import kotlinx.serialization.json.buildJsonArray
@@ -36,6 +38,10 @@
     @Volatile public var behaviour: EngineBehaviour = EngineBehaviour(),
     private val slots: Int = DEFAULT_SLOTS,
 ) {
+    /** Versions whose requests this engine answers with errors. */
+    @Volatile
+    public var badVersions: Set<ModelVersionId> = emptySet()
+
     private val startId = AtomicLong(System.nanoTime())
 
     @Volatile
@@ -113,7 +119,8 @@
         record: EngineRecord,
         resumeAfter: Int,
     ): HttpResponse {
-        val now = behaviour
+        val now = if (isBad(record.model)) behaviour.copy(fault = EngineFault.ERROR) else behaviour
+        val echo = Echo(record.model, body["user"]?.jsonPrimitive?.contentOrNull)
         val tokens = body["max_tokens"]?.jsonPrimitive?.intOrNull ?: now.tokens
         val streamed = body["stream"]?.jsonPrimitive?.booleanOrNull == true
         return when (now.fault) {
@@ -127,9 +134,9 @@
 
             else -> {
                 if (streamed) {
-                    stream(context, now, record, tokens, resumeAfter)
+                    stream(context, now, record, echo, tokens, resumeAfter)
                 } else {
-                    whole(context, now, record, tokens)
+                    whole(context, now, record, echo, tokens)
                 }
             }
         }
@@ -139,10 +146,11 @@
         context: ServiceRequestContext,
         now: EngineBehaviour,
         record: EngineRecord,
+        echo: Echo,
         tokens: Int,
     ): HttpResponse {
         recorded += record
-        val text = wholeBody(record.model, tokens)
+        val text = wholeBody(echo, tokens)
         val sent = if (now.fault == EngineFault.HALF_ANSWER) text.take(text.length / 2) else text
         val response = HttpResponse.of(HttpStatus.OK, MediaType.JSON, sent)
         val delay = now.timeToFirstToken + now.betweenTokens * tokens
@@ -156,6 +164,7 @@
         context: ServiceRequestContext,
         now: EngineBehaviour,
         record: EngineRecord,
+        echo: Echo,
         tokens: Int,
         resumeAfter: Int,
     ): HttpResponse {
@@ -170,7 +179,7 @@
         if (resumeAfter > 0) headers.setInt("x-resumed-after", resumeAfter)
         response.write(headers.build())
         val lastToken = if (now.fault in HALFWAY_FAULTS) tokens / 2 else tokens
-        val generation = Generating(context, response, now, record.model, tokens, lastToken, resumeAfter)
+        val generation = Generating(context, response, now, echo, tokens, lastToken, resumeAfter)
         context.eventLoop().schedule(
             { generation.next() },
             now.timeToFirstToken.inWholeMilliseconds,
@@ -183,7 +192,7 @@
         private val context: ServiceRequestContext,
         private val response: HttpResponseWriter,
         private val now: EngineBehaviour,
-        private val model: String,
+        private val echo: Echo,
         private val tokens: Int,
         private val lastToken: Int,
         private var sent: Int,
@@ -191,7 +200,7 @@
         fun next() {
             while (sent < lastToken) {
                 sent++
-                val data = if (now.fault == EngineFault.GARBAGE) "{garbage" else chunk(model, "token$sent ", null)
+                val data = if (now.fault == EngineFault.GARBAGE) "{garbage" else chunk(echo, "token$sent ", null)
                 if (!response.tryWrite(HttpData.ofUtf8("id: $sent\ndata: $data\n\n"))) return
                 if (now.betweenTokens.inWholeMilliseconds > 0) {
                     context.eventLoop().schedule(
@@ -208,7 +217,7 @@
         private fun finish() {
             if (now.fault == EngineFault.SILENT_MIDWAY) return
             if (lastToken == tokens) {
-                response.tryWrite(HttpData.ofUtf8("id: ${sent + 1}\ndata: ${chunk(model, "", usage(tokens))}\n\n"))
+                response.tryWrite(HttpData.ofUtf8("id: ${sent + 1}\ndata: ${chunk(echo, "", usage(tokens))}\n\n"))
                 response.tryWrite(HttpData.ofUtf8("data: [DONE]\n\n"))
             }
             response.close()
@@ -216,28 +225,41 @@
     }
 
     private fun chunk(
-        model: String,
+        echo: Echo,
         text: String,
         usage: JsonObject?,
     ): String =
         buildJsonObject {
             put("object", JsonPrimitive("chat.completion.chunk"))
-            put("model", JsonPrimitive(model))
+            putAll(echo)
             put("choices", choices(if (usage == null) "delta" else "message", text))
             usage?.let { put("usage", it) }
         }.toString()
 
     private fun wholeBody(
-        model: String,
+        echo: Echo,
         tokens: Int,
     ): String =
         buildJsonObject {
             put("object", JsonPrimitive("chat.completion"))
-            put("model", JsonPrimitive(model))
+            putAll(echo)
             put("choices", choices("message", (1..tokens).joinToString("") { "token$it " }))
             put("usage", usage(tokens))
         }.toString()
 
+    private fun JsonObjectBuilder.putAll(echo: Echo) {
+        put("model", JsonPrimitive(echo.model))
+        echo.user?.let { put("user", JsonPrimitive(it)) }
+    }
+
+    private fun isBad(model: String): Boolean = badVersions.any { it.toString() == model }
+
+    /** What an answer repeats of its request, so that callers can tell their own answer from another's. */
+    private class Echo(
+        val model: String,
+        val user: String?,
+    )
+
     private fun choices(
         field: String,
         text: String,
