--- a/decision/src/test/kotlin/dev/almondhaven/decision/order/EngineOrderPlanTest.kt
+++ b/decision/src/test/kotlin/dev/almondhaven/decision/order/EngineOrderPlanTest.kt
@@ -106,7 +106,12 @@
         }
 
         fun work() {
-            reports.replaceAll { _, report -> if (random.nextBoolean()) EngineReport(report.desired, report.desired) else report }
+            reports.replaceAll {
+                _,
+                report,
+                ->
+                if (random.nextBoolean()) EngineReport(report.desired, report.desired) else report
+            }
         }
 
         fun warm(version: ModelVersionId): Int = reports.values.count { version in it.loaded }
--- a/model/src/main/kotlin/dev/almondhaven/model/LogEvent.kt
+++ b/model/src/main/kotlin/dev/almondhaven/model/LogEvent.kt
@@ -39,13 +39,25 @@
     RATINGS_UNAVAILABLE(3002, Level.WARN, "The rating service does not answer; choices go on with what is known."),
     RATINGS_DISTRUSTED(3003, Level.WARN, "Most versions' ratings fell at once; those ratings are left out."),
 
+    SESSION_MOVED(3101, Level.INFO, "A session moved to the successor of its withdrawn version."),
+    SESSION_TOKEN_REFUSED(3102, Level.WARN, "A session token did not verify."),
+    SESSION_HOLDER_SILENT(3103, Level.WARN, "No holder of a session's version answered."),
+
     ENDPOINT_ANSWER_BAD(4001, Level.WARN, "An endpoint's answer failed or could not be read."),
+    ENDPOINT_EJECTED(4002, Level.WARN, "An endpoint failed repeatedly and gets no requests for a while."),
+    ENDPOINT_COLD(4003, Level.INFO, "An endpoint is cold; it is ramped from a small limit."),
+    ANSWER_RESUMED(4004, Level.INFO, "A streamed answer goes on at another endpoint."),
 
     CLAIM_WRITE_UNSETTLED(5001, Level.WARN, "A read or write of claims failed; it is tried again."),
     CLAIM_OPERATION_DROPPED(5002, Level.WARN, "Too many claim operations wait; one was not taken."),
     CLAIM_OUTCOME_UNKNOWN(5003, Level.WARN, "A non-idempotent call got an error whose outcome is unknown."),
     CLAIM_SHARDS_DELETED(5004, Level.INFO, "Claims from before the retention window were deleted."),
 
+    BILLING_OVERFLOWED(5101, Level.ERROR, "A billing record found no room and is lost."),
+    BILLING_WRITE_FAILED(5102, Level.WARN, "Billing records could not be written to the platform; they are kept."),
+    BILLING_ORPHANS_TAKEN(5103, Level.INFO, "The records of a router that is gone are stored from their copy."),
+    BILLING_LEFT_UNSTORED(5104, Level.WARN, "The router stops with records that only a peer's copy holds."),
+
     ENGINE_LEASE_HELD(5401, Level.INFO, "This router gives the orders to the engines of a failure domain."),
     ENGINE_LEASE_ENDED(5402, Level.INFO, "This router no longer gives orders to the engines of a failure domain."),
     ENGINE_ORDER_TAKEN(5403, Level.INFO, "An engine took an order to load or unload versions."),
--- a/model/src/main/kotlin/dev/almondhaven/model/ResultCode.kt
+++ b/model/src/main/kotlin/dev/almondhaven/model/ResultCode.kt
@@ -23,11 +23,17 @@
     UNKNOWN_SERVICE(1006, 404, "The service or call does not exist or the organisation may not use it."),
 
     NOT_CONFIGURED(2001, 503, "This router holds no configuration yet."),
+    DOMAIN_OUT_OF_SERVICE(2002, 503, "Operators have taken this router's failure domain out; another router serves."),
 
     NO_MODEL_ALLOWED(3001, 403, "No model is in service that the organisation may use."),
     TARGET_MISSED(3002, 503, "No allowed plan reaches the organisation's quality target, and its rule is to refuse."),
     VERSION_QUARANTINED(3003, 503, "The version went into quarantine before the request was sent."),
     PROMPT_TOO_LONG(3004, 413, "The prompt is longer than every allowed version accepts."),
+    SESSION_TOKEN_INVALID(3101, 400, "The session token is forged, damaged, of another organisation or too old."),
+    SESSION_VERSION_WITHDRAWN(3102, 409, "The session's version is withdrawn and has no usable successor."),
+    SESSION_VERSION_NOT_ALLOWED(3103, 403, "The organisation may no longer use the session's version."),
+    SESSION_VERSION_UNKNOWN(3104, 503, "This router's configuration doesn't hold the session's version yet."),
+    SESSION_MODEL_DIFFERS(3105, 409, "The request names a model that its session doesn't run on."),
 
     NO_ENDPOINT(4001, 503, "No endpoint in service can take the request."),
     ENDPOINT_UNREACHABLE(4002, 502, "No connection to the endpoint could be opened."),
@@ -36,6 +42,8 @@
     ANSWER_CUT(4005, 502, "The endpoint's answer ended before it was complete."),
     DEADLINE_EXCEEDED(4006, 504, "The request's deadline passed."),
     OVERLOADED(4007, 429, "More requests wait or run than the limits allow."),
+    ENDPOINT_SILENT(4008, 504, "The endpoint sent nothing for longer than the silence deadline."),
+    CALLER_TOO_SLOW(4009, 408, "The caller took nothing of its answer for longer than the stall deadline."),
 
     INTERNAL_ERROR(5001, 500, "The router met an unexpected error."),
 
@@ -51,10 +59,16 @@
     CLAIM_BOUND_PASSED(5019, 503, "The time within which the claim may be dispatched passed."),
     CLAIM_VOIDED(5020, 503, "A call under the same key was refused at about the same time; it may be sent again."),
 
+    BILLING_CONFLICT(5101, 0, "Some requests have unlike billing records; they are listed."),
+
     INVALID_SETTINGS(6001, 0, "The settings file is wrong; every problem is listed."),
     INVALID_NOTE(6002, 0, "The release note is wrong; every problem is listed."),
     PUBLISH_CONFLICT(6003, 0, "Another configuration was accepted first; the differences are listed."),
     PLATFORM_UNAVAILABLE(6004, 0, "The platform's object API does not answer."),
+    CONFIGURATION_TOO_LARGE(6005, 0, "The configuration would be larger than the platform holds; nothing changed."),
+    NOTE_ID_REUSED(6006, 0, "The id already names another accepted entry; nothing changed."),
+    PUBLISH_UNSETTLED(6007, 0, "A write got no answer and may take effect; the same command again settles it."),
+    AUDIT_BROKEN(6008, 0, "The audit trail has gaps or its hashes don't match."),
     ;
 
     public companion object {
