--- a/experiments/src/main/kotlin/dev/almondhaven/experiments/deployment/CallRecord.kt
+++ b/experiments/src/main/kotlin/dev/almondhaven/experiments/deployment/CallRecord.kt
@@ -46,4 +46,7 @@
     public val model: String = "",
     public val session: String = "",
     public val detail: String = "",
-)
+) {
+    /** Epoch milliseconds at which the caller had the answer. */
+    public val endedAt: Long get() = startedAt + millis
+}
--- a/experiments/src/main/kotlin/dev/almondhaven/experiments/deployment/DeploymentsExperiment.kt
+++ b/experiments/src/main/kotlin/dev/almondhaven/experiments/deployment/DeploymentsExperiment.kt
@@ -5,6 +5,8 @@
 import dev.almondhaven.experiments.ExperimentReport.Companion.number
 import org.HdrHistogram.Histogram
 import java.io.File
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.Executors
 
 /** Both users' deployments as real router processes on loopback, under load and every fault of the brief. */
 public class DeploymentsExperiment : Experiment {
@@ -12,12 +14,18 @@
     override val about: String = "Both sample deployments, five router processes each, through a script of faults."
 
     override fun run(report: ExperimentReport) {
-        report.text("Five router processes a deployment, $CALLERS callers; the stand-ins' own records are the truth.")
-        SampleDeployment.all(File("examples")).forEach { sample ->
-            val logs = File(".try/deployments-${sample.name}")
-            val run = DeploymentRun(sample, ProcessRouter.starter(logs), FaultScripts.FULL, CALLERS, SEED)
-            write(report, sample, run.execute())
-        }
+        report.text(
+            "Both deployments at once, five router processes and $CALLERS callers each; the stand-ins' own records are the truth.",
+        )
+        val threads = Executors.newFixedThreadPool(USERS)
+        val samples = SampleDeployment.all(File("examples"))
+        val results = samples.map { sample -> CompletableFuture.supplyAsync({ execute(sample) }, threads) }
+        samples.zip(results).forEach { (sample, result) -> write(report, sample, result.join()) }
+    }
+
+    private fun execute(sample: SampleDeployment): DeploymentResult {
+        val logs = File(".try/deployments-${sample.name}")
+        return DeploymentRun(sample, ProcessRouter.starter(logs), FaultScripts.FULL, CALLERS, SEED).execute()
     }
 
     private fun write(
@@ -56,6 +64,7 @@
             .sortedBy { it.first() }
 
     private companion object {
+        const val USERS = 2
         const val CALLERS = 60
         const val SEED = 20_261_204L
         const val EXAMPLES = 5
