--- a/decision/src/main/kotlin/dev/almondhaven/decision/choice/PlanChooser.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/choice/PlanChooser.kt
@@ -96,7 +96,8 @@
                 val band = ConfidenceBand.ALL[index]
                 val accepted = cheap.estimate.acceptance(band)
                 val acceptedQuality = cheap.estimate.acceptedQuality(band) - lowered
-                val quality = accepted * acceptedQuality + (1 - accepted) * quality(strong)
+                val escalatedQuality = strong.estimate.escalatedQuality - CAUTION * strong.estimate.deviation
+                val quality = accepted * acceptedQuality + (1 - accepted) * escalatedQuality
                 consider(cheap, strong, band, cheapCost + (1 - accepted) * strongCost, quality)
             }
         }
--- a/decision/src/main/kotlin/dev/almondhaven/decision/choice/Tally.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/choice/Tally.kt
@@ -15,10 +15,10 @@
     /** Requests that ended in an error of the endpoint. */
     public val errors: Long get() = counters[ERRORS]
 
-    /** Ratings that came in. */
+    /** Ratings that came in, but for those of escalated requests. */
     public val ratings: Long get() = unjudgedRatings + ConfidenceBand.ALL.sumOf { ratings(it) }
 
-    /** Sum of the ratings, each from 0 to 1. */
+    /** Sum of the [ratings], each from 0 to 1. */
     public val ratingSum: Double get() = unjudgedRatingSum + ConfidenceBand.ALL.sumOf { ratingSum(it) }
 
     /** Ratings of answers whose confidence isn't known. */
@@ -39,6 +39,12 @@
     /** Sum of the ratings of answers whose confidence was [band]. */
     public fun ratingSum(band: ConfidenceBand): Double = counters[RATING_SUMS + band.ordinal] / RATING_UNITS
 
+    /** Ratings of answers to requests that were escalated to the version; they are harder than the usual ones. */
+    public val escalatedRatings: Long get() = counters[ESCALATED_RATINGS]
+
+    /** Sum of the ratings of answers to requests that were escalated to the version. */
+    public val escalatedRatingSum: Double get() = counters[ESCALATED_RATING_SUM] / RATING_UNITS
+
     /** Requests in latency band [band] or slower. */
     public fun slowerThan(band: Int): Long = (band until LATENCY_BANDS).sumOf { counters[LATENCIES + it] }
 
@@ -80,6 +86,15 @@
         return Tally(next)
     }
 
+    /** With one more rating, from 0 to 1, of an answer to a request that was escalated to the version. */
+    public fun plusEscalatedRating(rating: Double): Tally {
+        require(rating in 0.0..1.0) { "rating must be from 0 to 1, got $rating" }
+        val next = counters.copyOf()
+        next[ESCALATED_RATINGS]++
+        next[ESCALATED_RATING_SUM] += Math.round(rating * RATING_UNITS)
+        return Tally(next)
+    }
+
     /** The later of two readings of one router's tally. */
     public fun merge(other: Tally): Tally = Tally(LongArray(SIZE) { maxOf(counters[it], other.counters[it]) })
 
@@ -112,8 +127,10 @@
         private const val RATING_SUMS = 10
         private const val UNJUDGED_RATINGS = 14
         private const val UNJUDGED_RATING_SUM = 15
-        private const val LATENCIES = 16
-        private const val SIZE = 34
+        private const val ESCALATED_RATINGS = 16
+        private const val ESCALATED_RATING_SUM = 17
+        private const val LATENCIES = 18
+        private const val SIZE = 36
         private const val RADIX = 36
 
         /** A rating is counted in thousandths. */
--- a/decision/src/main/kotlin/dev/almondhaven/decision/choice/VersionEstimate.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/choice/VersionEstimate.kt
@@ -14,6 +14,7 @@
  * @property acceptance expected share of answers at or above each confidence band.
  * @property acceptedQuality expected quality of the answers at or above each confidence band.
  * @property millisecondsPerToken expected time per generated token; the time to the first one is spread over them.
+ * @property escalatedQuality expected quality of answers to requests that another version failed at first.
  */
 public class VersionEstimate(
     public val quality: Double,
@@ -22,6 +23,7 @@
     private val acceptance: DoubleArray,
     private val acceptedQuality: DoubleArray,
     public val millisecondsPerToken: Double,
+    public val escalatedQuality: Double = quality,
 ) {
     /** Expected share of answers at or above [band]. */
     public fun acceptance(band: ConfidenceBand): Double = acceptance[band.ordinal]
@@ -38,6 +40,8 @@
         private const val MILLISECONDS_OF_FIRST_LATENCY_BAND = 1.0
         private const val OCTAVES_PER_BAND = 0.5
         private const val HIGHEST_PRIOR = 0.99
+        private const val ESCALATED_PRIOR_LOSS = 0.03
+        private const val ESCALATED_PRIOR_WEIGHT = 20.0
         private val PRIOR_BAND_SHARES = doubleArrayOf(0.02, 0.18, 0.4, 0.4)
 
         /** How far the bands' quality lies from the version's before any rating; they weigh out to 0. */
@@ -74,6 +78,7 @@
                 acceptance,
                 acceptedQuality,
                 millisecondsPerToken(buckets),
+                evidence.escalatedMean(quality - ESCALATED_PRIOR_LOSS, ESCALATED_PRIOR_WEIGHT),
             )
         }
 
@@ -123,6 +128,8 @@
     var unjudgedRatings = 0.0
         private set
     private var unjudgedRatingSum = 0.0
+    private var escalatedRatings = 0.0
+    private var escalatedRatingSum = 0.0
 
     init {
         for ((bucket, tally) in buckets) {
@@ -130,6 +137,8 @@
             val weight = 0.5.pow(age / VersionEstimate.HALF_LIFE_MILLIS)
             unjudgedRatings += weight * tally.unjudgedRatings
             unjudgedRatingSum += weight * tally.unjudgedRatingSum
+            escalatedRatings += weight * tally.escalatedRatings
+            escalatedRatingSum += weight * tally.escalatedRatingSum
             for (band in ConfidenceBand.ALL) {
                 answers[band.ordinal] += weight * tally.answers(band)
                 ratings[band.ordinal] += weight * tally.ratings(band)
@@ -141,4 +150,10 @@
     /** Mean of the ratings of answers whose confidence isn't known, or [otherwise] when there is none. */
     fun unjudgedMean(otherwise: Double): Double =
         if (unjudgedRatings == 0.0) otherwise else unjudgedRatingSum / unjudgedRatings
+
+    /** Mean of the ratings of escalated requests, with [prior] counting as [weight] of them. */
+    fun escalatedMean(
+        prior: Double,
+        weight: Double,
+    ): Double = (prior * weight + escalatedRatingSum) / (weight + escalatedRatings)
 }
--- a/router/src/main/kotlin/dev/almondhaven/router/controller/ChoiceController.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/controller/ChoiceController.kt
@@ -26,6 +26,7 @@
  * One step of a request that has ended.
  *
  * @property delivered whether the caller gets the answer, so that a rating of it may follow.
+ * @property escalated whether another version was tried before.
  */
 internal data class StepObservation(
     val requestId: RequestId,
@@ -34,6 +35,7 @@
     val millisecondsPerToken: Double?,
     val confidence: ConfidenceBand?,
     val delivered: Boolean,
+    val escalated: Boolean = false,
 )
 
 /** A reading of another router's evidence. */
@@ -131,14 +133,25 @@
             it.plusRequest(observation.failed, observation.millisecondsPerToken, observation.confidence)
         }
         if (observation.delivered && !observation.failed) {
-            pending.expect(observation.requestId, RatedAnswer(observation.subject, observation.confidence))
+            pending.expect(
+                observation.requestId,
+                RatedAnswer(observation.subject, observation.confidence, observation.escalated),
+            )
         }
     }
 
     private fun take(rating: Rating) {
         if (rating.rating.isNaN() || rating.rating !in 0.0..1.0) return
         val answer = pending.take(rating.requestId) ?: return
-        pool.record(answer.subject, clock.millis()) { it.plusRating(rating.rating, answer.confidence) }
+        pool.record(answer.subject, clock.millis()) { tally ->
+            if (answer.escalated) {
+                tally.plusEscalatedRating(
+                    rating.rating,
+                )
+            } else {
+                tally.plusRating(rating.rating, answer.confidence)
+            }
+        }
     }
 
     private fun tick() {
--- a/router/src/main/kotlin/dev/almondhaven/router/controller/PendingRatings.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/controller/PendingRatings.kt
@@ -8,6 +8,7 @@
 internal data class RatedAnswer(
     val subject: EvidenceSubject,
     val confidence: ConfidenceBand?,
+    val escalated: Boolean,
 )
 
 /**
--- a/router/src/main/kotlin/dev/almondhaven/router/filter/CascadeRunner.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/filter/CascadeRunner.kt
@@ -35,7 +35,9 @@
                 CompletableFuture.completedFuture(first.answer)
             } else {
                 first.discard()
-                steps.run(exchange, escalation, planned.taskClass, next).thenApply { fallBack(exchange, first, it) }
+                steps
+                    .run(exchange, escalation, planned.taskClass, next, escalated = true)
+                    .thenApply { fallBack(exchange, first, it) }
             }
         }
     }
--- a/router/src/main/kotlin/dev/almondhaven/router/filter/StepRunner.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/filter/StepRunner.kt
@@ -23,8 +23,9 @@
         version: ModelVersion,
         taskClass: TaskClass,
         next: RequestHandler,
+        escalated: Boolean = false,
     ): CompletableFuture<Answer> {
-        val step = start(exchange, version, taskClass)
+        val step = start(exchange, version, taskClass, escalated)
         return next.handle(exchange.with(version)).thenApply { answer -> reporting(step, answer) }
     }
 
@@ -33,9 +34,10 @@
         exchange: Exchange,
         version: ModelVersion,
         taskClass: TaskClass,
+        escalated: Boolean = false,
     ): Step {
         load.count(version.id, exchange.journal)
-        return Step(exchange, EvidenceSubject(version.id, version.definedIn, taskClass), clock.nanos())
+        return Step(exchange, EvidenceSubject(version.id, version.definedIn, taskClass), clock.nanos(), escalated)
     }
 
     private fun reporting(
@@ -58,6 +60,7 @@
         private val exchange: Exchange,
         private val subject: EvidenceSubject,
         private val startedAt: Long,
+        private val escalated: Boolean,
     ) {
         internal fun see(frame: AnswerFrame) {
             when (frame) {
@@ -78,7 +81,7 @@
             val milliseconds = (clock.nanos() - startedAt) / NANOS_PER_MILLISECOND
             val pace = if (refusal == null && tokens != null && tokens > 0) milliseconds / tokens else null
             choice.observe(
-                StepObservation(exchange.requestId, subject, refusal != null, pace, confidence, delivered),
+                StepObservation(exchange.requestId, subject, refusal != null, pace, confidence, delivered, escalated),
             )
         }
     }
