--- a/decision/src/main/kotlin/dev/almondhaven/decision/choice/EvidencePool.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/choice/EvidencePool.kt
@@ -82,10 +82,21 @@
     /** Up to [count] cells to tell a peer, those that changed longest ago first, [urgent] ones before the rest. */
     public fun nextToTell(
         count: Int,
-        urgent: (EvidenceSubject) -> Boolean = { false },
+        urgent: (EvidenceSubject) -> Boolean = { true },
     ): List<Pair<EvidenceCell, Tally>> {
-        val first = untold.keys.filter { urgent(it.subject) }.take(count)
-        val rest = untold.keys.filterNot { urgent(it.subject) }.take(count - first.size)
+        val first =
+            untold.keys
+                .asSequence()
+                .filter { urgent(it.subject) }
+                .take(count)
+                .toList()
+        val missing = count - first.size
+        val rest =
+            untold.keys
+                .asSequence()
+                .filterNot { urgent(it.subject) }
+                .take(missing)
+                .toList()
         val chosen = first + rest
         chosen.forEach { told(it) }
         return chosen.mapNotNull { cell -> open[cell]?.let { cell to it } }
--- a/decision/src/main/kotlin/dev/almondhaven/decision/choice/Tally.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/choice/Tally.kt
@@ -48,6 +48,15 @@
     /** Requests in latency band [band] or slower. */
     public fun slowerThan(band: Int): Long = (band until LATENCY_BANDS).sumOf { counters[LATENCIES + it] }
 
+    /** The [ratings] in rating band [band] or lower. */
+    public fun ratedAtMost(band: Int): Long = (0..band).sumOf { counters[RATING_HISTOGRAM + it] }
+
+    /** The highest rating band that at least [share] of the [ratings] don't fall short of. */
+    public fun ratingQuantileBand(share: Double): Int {
+        val wanted = ratings * share
+        return (RATING_BANDS - 1 downTo 1).firstOrNull { ratings - ratedAtMost(it - 1) >= wanted } ?: 0
+    }
+
     /** The lowest latency band that at least [share] of the timed requests don't exceed. */
     public fun latencyQuantileBand(share: Double): Int {
         val wanted = timed * share
@@ -83,6 +92,7 @@
         next[if (confidence == null) UNJUDGED_RATINGS else RATINGS + confidence.ordinal]++
         val sum = if (confidence == null) UNJUDGED_RATING_SUM else RATING_SUMS + confidence.ordinal
         next[sum] += Math.round(rating * RATING_UNITS)
+        next[RATING_HISTOGRAM + ratingBand(rating)]++
         return Tally(next)
     }
 
@@ -130,14 +140,18 @@
         private const val ESCALATED_RATINGS = 16
         private const val ESCALATED_RATING_SUM = 17
         private const val LATENCIES = 18
-        private const val SIZE = 36
+        private const val RATING_HISTOGRAM = 36
+        private const val SIZE = 46
         private const val RADIX = 36
 
         /** A rating is counted in thousandths. */
         private const val RATING_UNITS = 1_000.0
 
         /** Latency bands, each half an octave wide, the first one up to a millisecond per token. */
-        public const val LATENCY_BANDS: Int = SIZE - LATENCIES
+        public const val LATENCY_BANDS: Int = RATING_HISTOGRAM - LATENCIES
+
+        /** Bands of ratings, each a tenth wide. */
+        public const val RATING_BANDS: Int = SIZE - RATING_HISTOGRAM
 
         private const val BANDS_PER_OCTAVE = 2
 
@@ -160,6 +174,16 @@
             return (1 + (octaves * BANDS_PER_OCTAVE).toInt()).coerceAtMost(LATENCY_BANDS - 1)
         }
 
+        /** The rating band of [rating]. */
+        public fun ratingBand(rating: Double): Int = (rating * RATING_BANDS).toInt().coerceIn(0, RATING_BANDS - 1)
+
+        /** Bands by which ratings differ whose difference is [difference], rounded up. */
+        public fun bandsOfRatingDifference(difference: Double): Int =
+            kotlin.math
+                .ceil(difference * RATING_BANDS)
+                .toInt()
+                .coerceAtLeast(1)
+
         /** Bands by which latencies differ whose ratio is [ratio], rounded up. */
         public fun bandsOfRatio(ratio: Double): Int =
             kotlin.math
--- a/decision/src/main/kotlin/dev/almondhaven/decision/rollout/QuarantinePolicy.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/rollout/QuarantinePolicy.kt
@@ -16,20 +16,21 @@
 
     /**
      * New quarantines for [catalogue] beside those [held]. Quarantines that rest on ratings alone never cover more than
-     * half of the versions in service, since ratings come from outside.
+     * half of the versions in service, since ratings come from outside; those of [distrustedBuckets] don't count at all
+     * against a version's own past.
      */
     public fun decide(
         catalogue: Catalogue,
         held: QuarantineSet,
         evidence: EvidenceTotals,
         epochMillis: Long,
+        distrustedBuckets: Set<Long> = RatingTrust.distrustedBuckets(evidence),
     ): List<Quarantine> {
         val active = catalogue.models.filter { it.state == VersionState.ACTIVE }
         val byId = active.associateBy { it.id }
-        val distrusted = RatingTrust.distrustedBuckets(evidence)
         var byRatings = active.count { held.find(it)?.evidence?.measure == TrialMeasure.RATINGS }
         return active.filterNot { held.holds(it) }.mapNotNull { version ->
-            val found = trial.verdict(version, predecessor(version, byId), evidence, epochMillis, distrusted)
+            val found = trial.verdict(version, predecessor(version, byId), evidence, epochMillis, distrustedBuckets)
             val byRating = found?.measure == TrialMeasure.RATINGS
             when {
                 found == null -> {
--- a/decision/src/main/kotlin/dev/almondhaven/decision/rollout/VersionTrial.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/rollout/VersionTrial.kt
@@ -116,6 +116,7 @@
                 threshold,
             ),
             latency(candidate, reference, margins, kind, threshold),
+            lowRatings(candidate, reference, margins, kind, threshold),
         )
     }
 
@@ -147,7 +148,27 @@
         val slow = if (slowBand >= Tally.LATENCY_BANDS) 0 else candidate.slowerThan(slowBand)
         val candidateSample = Sample(candidate.timed, slow.toDouble())
         val referenceSample = Sample(reference.timed, reference.slowerThan(usual + 1).toDouble())
-        return increase(TrialMeasure.LATENCY, candidateSample, referenceSample, LATENCY_MARGIN, kind, threshold)
+        return increase(TrialMeasure.LATENCY, candidateSample, referenceSample, QUANTILE_MARGIN, kind, threshold)
+    }
+
+    /**
+     * If the version's ratings were lower by `maximumQualityLoss` at most, at most as large a share of them would lie
+     * that far below a band as the reference has below it. Finds a shift of all ratings on far fewer than the mean does.
+     */
+    private fun lowRatings(
+        candidate: Tally,
+        reference: Tally,
+        margins: RollOut,
+        kind: TrialReference,
+        threshold: Double,
+    ): TrialEvidence {
+        val usual = reference.ratingQuantileBand(USUAL_SHARE)
+        val lowBand = usual - 1 - Tally.bandsOfRatingDifference(margins.maximumQualityLoss)
+        val low = if (lowBand < 0) 0 else candidate.ratedAtMost(lowBand)
+        val candidateSample = Sample(candidate.ratings, low.toDouble())
+        val usuallyLow = if (usual == 0) 0 else reference.ratedAtMost(usual - 1)
+        val referenceSample = Sample(reference.ratings, usuallyLow.toDouble())
+        return increase(TrialMeasure.RATINGS, candidateSample, referenceSample, QUANTILE_MARGIN, kind, threshold)
     }
 
     private fun evidence(
@@ -190,9 +211,9 @@
         /** Buckets of its own past that it is compared with: a day. */
         public const val PAST_BUCKETS: Long = 144
 
-        private const val TESTS_PER_CLASS = 3.0
+        private const val TESTS_PER_CLASS = 4.0
         private const val USUAL_SHARE = 0.75
-        private const val LATENCY_MARGIN = 0.05
+        private const val QUANTILE_MARGIN = 0.05
 
         private val IN_SERVICE_MARGINS =
             RollOut(
--- /dev/null
+++ b/decision/src/test/kotlin/dev/almondhaven/decision/rollout/TrialScene.kt
@@ -0,0 +1,78 @@
+package dev.almondhaven.decision.rollout
+
+import dev.almondhaven.catalogue.Catalogue
+import dev.almondhaven.catalogue.ModelVersion
+import dev.almondhaven.catalogue.RollOut
+import dev.almondhaven.catalogue.RollOutStep
+import dev.almondhaven.decision.choice.EvidencePool
+import dev.almondhaven.decision.choice.EvidenceSubject
+import dev.almondhaven.decision.choice.TaskClassifier
+import dev.almondhaven.decision.choice.version
+import dev.almondhaven.model.RouterId
+import dev.almondhaven.model.VersionId
+import org.apache.commons.rng.simple.RandomSource
+
+/** How a fake version behaves. */
+internal data class Behaviour(
+    val errorRate: Double = 0.02,
+    val millisecondsPerToken: Double = 20.0,
+    val quality: Double = 0.85,
+)
+
+/** A roll-out of `new` against `old` in virtual time, with a policy that looks after every second. */
+internal class TrialScene(
+    seed: Long,
+    private val limits: TrialLimits = TrialLimits(),
+) {
+    val old = version("model", definedIn = 1)
+    val new =
+        old.copy(
+            version = VersionId("2"),
+            definedIn = dev.almondhaven.model.Generation(2),
+            rollOut = RollOut(old.version, startedAt = START, steps = listOf(RollOutStep(0.5, 600))),
+        )
+    val other = version("other", definedIn = 1)
+    private val random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed)
+    private val pool = EvidencePool(RouterId("r"))
+    private val policy = QuarantinePolicy(RouterId("r"), limits)
+    private var quarantines = QuarantineSet.EMPTY
+    private var now = START
+
+    /** [count] requests on [version], one in [ratedEvery] rated. */
+    fun serve(
+        version: ModelVersion,
+        behaviour: Behaviour,
+        count: Int = 5,
+        ratedEvery: Int = 2,
+    ) {
+        val subject = EvidenceSubject(version.id, version.definedIn, TaskClassifier.QUERY)
+        repeat(count) {
+            val failed = random.nextDouble() < behaviour.errorRate
+            val pace = behaviour.millisecondsPerToken * (0.6 + 0.8 * random.nextDouble())
+            pool.record(subject, now) { it.plusRequest(failed, pace, null) }
+            if (random.nextInt(ratedEvery) == 0) {
+                val rating = (behaviour.quality + 0.3 * (random.nextDouble() - 0.5)).coerceIn(0.0, 1.0)
+                pool.record(subject, now) { it.plusRating(rating, null) }
+            }
+        }
+    }
+
+    /** A second passes and the policy looks; the versions in quarantine by then. */
+    fun look(
+        vararg inService: ModelVersion,
+        seconds: Long = 1,
+    ): Set<ModelVersion> {
+        now += seconds * 1_000
+        pool.advance(now)
+        val catalogue = Catalogue(models = inService.toList())
+        policy.decide(catalogue, quarantines, pool.totals, now).forEach { quarantines = quarantines.plus(it) }
+        return inService.filter { quarantines.holds(it) }.toSet()
+    }
+
+    /** What the quarantine of [version] rests on. */
+    fun measure(version: ModelVersion): TrialMeasure? = quarantines.find(version)?.evidence?.measure
+
+    companion object {
+        const val START = 1_800_000_000_000L
+    }
+}
--- a/experiments/src/main/kotlin/dev/almondhaven/experiments/choice/ModelChoiceExperiment.kt
+++ b/experiments/src/main/kotlin/dev/almondhaven/experiments/choice/ModelChoiceExperiment.kt
@@ -11,6 +11,8 @@
     override fun run(report: ExperimentReport) {
         report.text(INTRODUCTION)
         listOf(0.01, 0.05, 0.2).forEach { CostMeasurement(it).run(report) }
+        DecisionTimeMeasurement().run(report)
+        ExposureMeasurement().run(report)
     }
 
     private companion object {
--- /dev/null
+++ b/experiments/src/main/kotlin/dev/almondhaven/experiments/choice/SimulatedFleet.kt
@@ -0,0 +1,149 @@
+package dev.almondhaven.experiments.choice
+
+import dev.almondhaven.catalogue.Catalogue
+import dev.almondhaven.catalogue.ModelVersion
+import dev.almondhaven.decision.choice.EvidencePool
+import dev.almondhaven.decision.choice.EvidenceSubject
+import dev.almondhaven.decision.choice.Tally
+import dev.almondhaven.decision.choice.TaskClassifier
+import dev.almondhaven.decision.rollout.QuarantinePolicy
+import dev.almondhaven.decision.rollout.QuarantineSet
+import dev.almondhaven.decision.rollout.TrialLimits
+import dev.almondhaven.model.RouterId
+import org.apache.commons.rng.UniformRandomProvider
+import java.util.ArrayDeque
+
+/** How a fake version behaves. */
+internal class FakeBehaviour(
+    val errorRate: Double = 0.01,
+    val millisecondsPerToken: Double = 20.0,
+    val quality: Double = 0.9,
+)
+
+/** Sizes of a simulated fleet. */
+internal class FleetSize(
+    val routers: Int,
+    val requestsPerSecond: Int,
+)
+
+/** A rating on its way. */
+private class LateRating(
+    val due: Long,
+    val router: SimulatedRouter,
+    val subject: EvidenceSubject,
+    val rating: Double,
+)
+
+/** One router: the decisions are the product's, transport and time are the experiment's. */
+internal class SimulatedRouter(
+    id: Int,
+    routers: Int,
+) {
+    val pool: EvidencePool = EvidencePool(RouterId("router-$id"))
+    var quarantines: QuarantineSet = QuarantineSet.EMPTY
+    private val policy = QuarantinePolicy(RouterId("router-$id"), TrialLimits(routers = routers))
+
+    fun evaluate(
+        catalogue: Catalogue,
+        now: Long,
+    ) {
+        pool.advance(now)
+        policy
+            .decide(catalogue, quarantines, pool.totals, now, emptySet())
+            .forEach { quarantines = quarantines.plus(it) }
+    }
+}
+
+/**
+ * Routers that serve a share of the traffic on a version, pool evidence by gossip once a second within a budget of
+ * cells, and stop the version. Time goes in steps of a second.
+ */
+internal class SimulatedFleet(
+    private val size: FleetSize,
+    private val catalogue: Catalogue,
+    private val ratedShare: Double,
+    private val random: UniformRandomProvider,
+) {
+    private val routers = List(size.routers) { SimulatedRouter(it, size.routers) }
+    private val late = ArrayDeque<LateRating>()
+
+    /** Requests that ran on [version] so far. */
+    var exposed: Long = 0
+        private set
+
+    /** Whether every router has [version] in quarantine. */
+    fun allStopped(version: ModelVersion): Boolean = routers.all { it.quarantines.holds(version) }
+
+    /** Whether any router has [version] in quarantine. */
+    fun anyStopped(version: ModelVersion): Boolean = routers.any { it.quarantines.holds(version) }
+
+    /** One second at [now]: [share] of the requests want [version], the others run on [other]. */
+    fun second(
+        now: Long,
+        share: Double,
+        version: ModelVersion,
+        behaviour: FakeBehaviour,
+        other: ModelVersion,
+        otherBehaviour: FakeBehaviour,
+        evaluate: Boolean = true,
+    ) {
+        repeat(size.requestsPerSecond) {
+            val router = routers[random.nextInt(routers.size)]
+            if (random.nextDouble() < share && !router.quarantines.holds(version)) {
+                exposed++
+                serve(router, version, behaviour, now)
+            } else {
+                serve(router, other, otherBehaviour, now)
+            }
+        }
+        while (late.isNotEmpty() && late.first().due <= now) {
+            val rating = late.removeFirst()
+            rating.router.pool.record(rating.subject, now) { it.plusRating(rating.rating, null) }
+        }
+        gossip()
+        if (evaluate) routers.forEach { it.evaluate(catalogue, now) }
+    }
+
+    private fun serve(
+        router: SimulatedRouter,
+        version: ModelVersion,
+        behaviour: FakeBehaviour,
+        now: Long,
+    ) {
+        val subject = EvidenceSubject(version.id, version.definedIn, TaskClassifier.QUERY)
+        val failed = random.nextDouble() < behaviour.errorRate
+        val pace = behaviour.millisecondsPerToken * (0.7 + 0.6 * random.nextDouble())
+        router.pool.record(subject, now) { it.plusRequest(failed, if (failed) null else pace, null) }
+        if (!failed && random.nextDouble() < ratedShare) {
+            val rating = (behaviour.quality + 0.2 * (random.nextDouble() - 0.5)).coerceIn(0.0, 1.0)
+            late += LateRating(now + RATING_LAG_MILLIS, router, subject, rating)
+        }
+    }
+
+    private fun gossip() {
+        if (routers.size == 1) return
+        routers.forEach { router ->
+            repeat(MESSAGES_PER_SECOND) {
+                val peer = routers[random.nextInt(routers.size)]
+                if (peer !== router) tell(router, peer)
+            }
+        }
+    }
+
+    private fun tell(
+        router: SimulatedRouter,
+        peer: SimulatedRouter,
+    ) {
+        router.pool.nextToTell(CELLS_PER_MESSAGE).forEach { (cell, tally) -> peer.pool.merge(cell, Tally.parse(tally)) }
+        peer.quarantines = peer.quarantines.merge(router.quarantines)
+    }
+
+    private fun Tally.Companion.parse(tally: Tally): Tally =
+        checkNotNull(parseOrNull(tally.toText())) { "unreadable tally $tally" }
+
+    private companion object {
+        const val RATING_LAG_MILLIS = 60_000L
+        const val MESSAGES_PER_SECOND = 2
+        const val CELLS_PER_MESSAGE = 6
+    }
+}
--- a/router/src/main/kotlin/dev/almondhaven/router/controller/ChoiceController.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/controller/ChoiceController.kt
@@ -77,7 +77,8 @@
     private val pending = PendingRatings(MAXIMUM_PENDING_RATINGS)
     private val toTell = ArrayBlockingQueue<EvidenceReading>(MAXIMUM_TO_TELL)
     private var distrusted = emptySet<Long>()
-    private var lastEvaluation = Long.MIN_VALUE
+    private var lastEvaluation = 0L
+    private var lastDistrustCheck = 0L
 
     @Volatile
     private var duty: DutyThread<ChoiceMessage>? = null
@@ -165,9 +166,12 @@
 
     private fun evaluate(now: Long) {
         val index = holder.index
-        noteDistrust(RatingTrust.distrustedBuckets(pool.totals))
+        if (now - lastDistrustCheck >= DISTRUST_CHECK_MILLIS) {
+            lastDistrustCheck = now
+            noteDistrust(RatingTrust.distrustedBuckets(pool.totals))
+        }
         val held = snapshot.quarantines.current { index.version(it)?.definedIn }
-        val found = QuarantinePolicy(routerId, limits()).decide(index.catalogue, held, pool.totals, now)
+        val found = QuarantinePolicy(routerId, limits()).decide(index.catalogue, held, pool.totals, now, distrusted)
         found.forEach { announce(it) }
         val quarantines = found.fold(held) { set, quarantine -> set.plus(quarantine) }
         snapshot = ChoiceSnapshot.of(index, pool.totals, quarantines, distrusted, now)
@@ -210,6 +214,7 @@
         const val MAXIMUM_TO_TELL = 128
         const val MAXIMUM_PENDING_RATINGS = 50_000
         const val EVALUATION_MILLIS = 1_000L
+        const val DISTRUST_CHECK_MILLIS = 5_000L
         val TICK = 250.milliseconds
     }
 }
