--- /dev/null
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/rollout/RollOutReport.kt
@@ -0,0 +1,61 @@
+package dev.almondhaven.decision.rollout
+
+import dev.almondhaven.catalogue.Catalogue
+import dev.almondhaven.catalogue.ModelVersion
+import dev.almondhaven.catalogue.VersionState
+import dev.almondhaven.model.ModelVersionId
+import kotlinx.serialization.Serializable
+
+/**
+ * How far the roll-out of one version is.
+ *
+ * @property share part of new sessions that start on it at this moment; 0 in quarantine.
+ */
+@Serializable
+public data class RollOutProgress(
+    public val version: ModelVersionId,
+    public val predecessor: ModelVersionId,
+    public val share: Double,
+    public val halted: Boolean,
+)
+
+/**
+ * What a router tells operators about roll-outs and bad versions.
+ *
+ * @property ratingsDistrusted whether ratings are being left out because most versions' fell at once.
+ */
+@Serializable
+public data class RollOutReport(
+    public val quarantines: List<Quarantine> = emptyList(),
+    public val rollOuts: List<RollOutProgress> = emptyList(),
+    public val ratingsDistrusted: Boolean = false,
+) {
+    public companion object {
+        /** Path of the peer protocol that answers with the report. */
+        public const val PEER_PATH: String = "roll-outs"
+
+        /** The report on [catalogue] at [epochMillis]. */
+        public fun of(
+            catalogue: Catalogue,
+            quarantines: QuarantineSet,
+            ratingsDistrusted: Boolean,
+            epochMillis: Long,
+        ): RollOutReport {
+            val active = catalogue.models.filter { it.state == VersionState.ACTIVE }
+            val progress = active.mapNotNull { progress(it, quarantines, epochMillis) }
+            return RollOutReport(quarantines.all, progress, ratingsDistrusted)
+        }
+
+        private fun progress(
+            version: ModelVersion,
+            quarantines: QuarantineSet,
+            epochMillis: Long,
+        ): RollOutProgress? {
+            val rollOut = version.rollOut ?: return null
+            val halted = quarantines.holds(version)
+            val share = if (halted) 0.0 else RollOutStage.share(rollOut, epochMillis)
+            val predecessor = ModelVersionId(version.model, rollOut.predecessor)
+            return RollOutProgress(version.id, predecessor, share, halted)
+        }
+    }
+}
--- a/router/src/main/kotlin/dev/almondhaven/router/ModelChoice.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/ModelChoice.kt
@@ -2,6 +2,7 @@
 
 import dev.almondhaven.decision.choice.ExplorationBudget
 import dev.almondhaven.decision.choice.ExplorationLimits
+import dev.almondhaven.decision.rollout.RollOutReport
 import dev.almondhaven.decision.rollout.TrialLimits
 import dev.almondhaven.model.NanoClock
 import dev.almondhaven.model.RouterId
@@ -16,8 +17,10 @@
 import dev.almondhaven.router.filter.VersionPolicy
 import dev.almondhaven.router.peer.EvidenceTopic
 import dev.almondhaven.router.peer.GossipTopic
+import dev.almondhaven.router.peer.PeerHandler
 import dev.almondhaven.router.peer.QuarantineTopic
 import dev.almondhaven.router.settings.ChoiceSettings
+import kotlinx.serialization.json.Json
 import org.apache.commons.rng.simple.RandomSource
 import java.time.InstantSource
 
@@ -49,6 +52,10 @@
         return ModelChoiceFilter(planner, steps, CascadeRunner(steps, clock))
     }
 
+    /** Answers operators who ask for the report on roll-outs. */
+    val reporting: PeerHandler =
+        PeerHandler { Json.encodeToString(RollOutReport.serializer(), controller.report()) }
+
     fun start() {
         controller.start()
         poller?.start()
--- a/router/src/main/kotlin/dev/almondhaven/router/Router.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/Router.kt
@@ -8,6 +8,7 @@
 import com.linecorp.armeria.server.healthcheck.HealthCheckService
 import com.linecorp.armeria.server.healthcheck.HealthChecker
 import dev.almondhaven.decision.membership.Member
+import dev.almondhaven.decision.rollout.RollOutReport
 import dev.almondhaven.model.LogEvent
 import dev.almondhaven.model.NanoClock
 import dev.almondhaven.platform.HttpObjectStore
@@ -76,6 +77,7 @@
         }
         watcher.start()
         choice.topics.forEach { peers.topics.register(it) }
+        peers.handlers.register(RollOutReport.PEER_PATH, choice.reporting)
         choice.start()
         server.start().join()
         LogEvent.ROUTER_STARTED.log(logger) { "port=$port domain=${settings.process.failureDomain}" }
--- a/router/src/main/kotlin/dev/almondhaven/router/controller/ChoiceController.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/controller/ChoiceController.kt
@@ -10,6 +10,7 @@
 import dev.almondhaven.decision.rollout.QuarantinePolicy
 import dev.almondhaven.decision.rollout.QuarantineSet
 import dev.almondhaven.decision.rollout.RatingTrust
+import dev.almondhaven.decision.rollout.RollOutReport
 import dev.almondhaven.decision.rollout.TrialLimits
 import dev.almondhaven.model.LogEvent
 import dev.almondhaven.model.Rating
@@ -121,6 +122,12 @@
     /** The next reading to tell a peer, or null when nothing has changed. */
     fun nextReading(): EvidenceReading? = toTell.poll()
 
+    /** What operators are told. */
+    fun report(): RollOutReport {
+        val known = snapshot
+        return RollOutReport.of(holder.index.catalogue, known.quarantines, known.ratingsDistrusted, clock.millis())
+    }
+
     private fun take(message: ChoiceMessage): Unit =
         when (message) {
             is ChoiceMessage.Observed -> take(message.observation)
--- a/router/src/main/kotlin/dev/almondhaven/router/controller/ChoiceSnapshot.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/controller/ChoiceSnapshot.kt
@@ -2,6 +2,7 @@
 
 import dev.almondhaven.catalogue.CatalogueIndex
 import dev.almondhaven.catalogue.ModelVersion
+import dev.almondhaven.decision.choice.EvidencePool
 import dev.almondhaven.decision.choice.EvidenceSubject
 import dev.almondhaven.decision.choice.EvidenceTotals
 import dev.almondhaven.decision.choice.TaskClassifier
@@ -14,11 +15,13 @@
  *
  * @property quarantines versions that get no new sessions.
  * @property taskClasses classes that a caller may declare.
+ * @property ratingsDistrusted whether ratings are being left out at this moment.
  */
 internal class ChoiceSnapshot(
     val quarantines: QuarantineSet,
     val taskClasses: Set<TaskClass>,
     private val estimates: Map<EvidenceSubject, VersionEstimate>,
+    val ratingsDistrusted: Boolean = false,
 ) {
     /** The estimate for [version] in [taskClass]; the prior alone when its definition is newer than the snapshot. */
     fun estimate(
@@ -53,9 +56,14 @@
                     estimates[subject] = VersionEstimate.of(version, taskClass, trusted, epochMillis)
                 }
             }
-            return ChoiceSnapshot(quarantines, classes, estimates)
+            return ChoiceSnapshot(quarantines, classes, estimates, distrustsNow(distrustedBuckets, epochMillis))
         }
 
+        private fun distrustsNow(
+            buckets: Set<Long>,
+            epochMillis: Long,
+        ): Boolean = buckets.any { it > EvidencePool.bucketOf(epochMillis) - EvidencePool.OPEN_BUCKETS }
+
         private fun taskClasses(index: CatalogueIndex): Set<TaskClass> =
             DEFAULT_CLASSES +
                 index.catalogue.models.flatMap { it.quality.classes.keys } +
