--- a/model/src/main/kotlin/dev/almondhaven/model/LogEvent.kt
+++ b/model/src/main/kotlin/dev/almondhaven/model/LogEvent.kt
@@ -39,6 +39,10 @@
     RATINGS_UNAVAILABLE(3002, Level.WARN, "The rating service does not answer; choices go on with what is known."),
     RATINGS_DISTRUSTED(3003, Level.WARN, "Most versions' ratings fell at once; those ratings are left out."),
 
+    SESSION_MOVED(3101, Level.INFO, "A session moved to the successor of its withdrawn version."),
+    SESSION_TOKEN_REFUSED(3102, Level.WARN, "A session token did not verify."),
+    SESSION_HOLDER_SILENT(3103, Level.WARN, "No holder of a session's version answered."),
+
     ENDPOINT_ANSWER_BAD(4001, Level.WARN, "An endpoint's answer failed or could not be read."),
 
     CLAIM_WRITE_UNSETTLED(5001, Level.WARN, "A read or write of claims failed; it is tried again."),
