Test recent windows of seconds and minutes against a version's past

Change: windows of 15 s, 90 s and 10 min over what came in at the router; ratings of a window in which most versions fell don't count; 1e-8 per window. Band priors no longer lower a high prior.

--- a/decision/src/main/kotlin/dev/almondhaven/decision/choice/EvidencePool.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/choice/EvidencePool.kt
@@ -34,6 +34,7 @@
 ) {
     private val open = HashMap<EvidenceCell, Tally>()
     private val fleet = HashMap<EvidenceSubject, TreeMap<Long, Tally>>()
+    private val arrivals = HashMap<EvidenceSubject, Tally>()
     private val untold = LinkedHashMap<EvidenceCell, Int>()
     private var firstOpenBucket = 0L
 
@@ -43,6 +44,9 @@
     /** The fleet's evidence; it changes along with the pool. */
     public val totals: EvidenceTotals = EvidenceTotals(fleet)
 
+    /** Everything that has come in by subject, whatever its bucket. */
+    public val arrived: Map<EvidenceSubject, Tally> get() = arrivals
+
     /** Changes this router's own tally of [subject] in the bucket of [epochMillis]. */
     public fun record(
         subject: EvidenceSubject,
@@ -77,6 +81,7 @@
         val oldest = first - KEPT_BUCKETS
         fleet.values.forEach { it.headMap(oldest).clear() }
         fleet.values.removeIf { it.isEmpty() }
+        arrivals.keys.retainAll(fleet.keys)
     }
 
     /** Up to [count] cells to tell a peer, those that changed longest ago first, [urgent] ones before the rest. */
@@ -108,6 +113,7 @@
     ) {
         val grown = tally - (open.put(cell, tally) ?: Tally.EMPTY)
         fleet.getOrPut(cell.subject) { TreeMap() }.merge(cell.bucket, grown) { left, right -> left + right }
+        arrivals.merge(cell.subject, grown) { left, right -> left + right }
         untold.putIfAbsent(cell, TELLINGS)
         untold.replace(cell, TELLINGS)
     }
--- a/decision/src/main/kotlin/dev/almondhaven/decision/choice/VersionEstimate.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/choice/VersionEstimate.kt
@@ -39,11 +39,13 @@
         private const val BAND_PRIOR_WEIGHT = 20.0
         private const val MILLISECONDS_OF_FIRST_LATENCY_BAND = 1.0
         private const val OCTAVES_PER_BAND = 0.5
-        private const val HIGHEST_PRIOR = 0.99
         private const val ESCALATED_PRIOR_LOSS = 0.03
         private const val ESCALATED_PRIOR_WEIGHT = 20.0
         private val PRIOR_BAND_SHARES = doubleArrayOf(0.02, 0.18, 0.4, 0.4)
 
+        private const val FULL_OFFSET_ROOM = 0.2
+        private const val FULL_OFFSET_FLOOR = 0.4
+
         /** How far the bands' quality lies from the version's before any rating; they weigh out to 0. */
         private val PRIOR_BAND_OFFSETS = doubleArrayOf(-0.4, -0.2, 0.01, 0.1)
 
@@ -91,15 +93,22 @@
             val answers = BAND_PRIOR_WEIGHT + evidence.answers.sum()
             val share = (PRIOR_BAND_SHARES[band] * BAND_PRIOR_WEIGHT + evidence.answers[band]) / answers
             val expected = version.quality.of(taskClass)
-            val prior = (expected + PRIOR_BAND_OFFSETS[band]).coerceIn(0.0, HIGHEST_PRIOR)
+            val prior = expected + bandOffset(band, expected)
             val weight = version.quality.weight.coerceAtLeast(1.0) * PRIOR_BAND_SHARES[band]
             val unjudged = evidence.unjudgedRatings * share
-            val unjudgedQuality = (evidence.unjudgedMean(expected) + PRIOR_BAND_OFFSETS[band]).coerceIn(0.0, 1.0)
+            val unjudgedMean = evidence.unjudgedMean(expected)
+            val unjudgedQuality = unjudgedMean + bandOffset(band, unjudgedMean)
             val total = weight + evidence.ratings[band] + unjudged
             val quality = (prior * weight + evidence.ratingSums[band] + unjudgedQuality * unjudged) / total
             return BandEstimate(share, quality, quality * (1 - quality) / (total + 1))
         }
 
+        /** Offsets shrink towards the ends of the scale, so that every band's quality stays from 0 to 1. */
+        private fun bandOffset(
+            band: Int,
+            quality: Double,
+        ): Double = PRIOR_BAND_OFFSETS[band] * minOf(1.0, (1 - quality) / FULL_OFFSET_ROOM, quality / FULL_OFFSET_FLOOR)
+
         private fun millisecondsPerToken(buckets: Map<Long, Tally>): Double {
             val newest =
                 buckets.entries
--- a/decision/src/main/kotlin/dev/almondhaven/decision/rollout/QuarantinePolicy.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/rollout/QuarantinePolicy.kt
@@ -3,7 +3,10 @@
 import dev.almondhaven.catalogue.Catalogue
 import dev.almondhaven.catalogue.ModelVersion
 import dev.almondhaven.catalogue.VersionState
+import dev.almondhaven.decision.choice.EvidencePool
+import dev.almondhaven.decision.choice.EvidenceSubject
 import dev.almondhaven.decision.choice.EvidenceTotals
+import dev.almondhaven.decision.choice.Tally
 import dev.almondhaven.model.ModelVersionId
 import dev.almondhaven.model.RouterId
 
@@ -16,21 +19,23 @@
 
     /**
      * New quarantines for [catalogue] beside those [held]. Quarantines that rest on ratings alone never cover more than
-     * half of the versions in service, since ratings come from outside; those of [distrustedBuckets] don't count at all
-     * against a version's own past.
+     * half of the versions in service, since ratings come from outside. [recent] is what came in lately, in windows of
+     * several lengths.
      */
     public fun decide(
         catalogue: Catalogue,
         held: QuarantineSet,
         evidence: EvidenceTotals,
+        recent: List<Map<EvidenceSubject, Tally>>,
         epochMillis: Long,
-        distrustedBuckets: Set<Long> = RatingTrust.distrustedBuckets(evidence),
     ): List<Quarantine> {
         val active = catalogue.models.filter { it.state == VersionState.ACTIVE }
         val byId = active.associateBy { it.id }
+        val past = VersionTrial.pastBuckets(EvidencePool.bucketOf(epochMillis))
+        val windows = recent.map { TrialWindow(it, RatingTrust.trusts(it, evidence, past)) }
         var byRatings = active.count { held.find(it)?.evidence?.measure == TrialMeasure.RATINGS }
         return active.filterNot { held.holds(it) }.mapNotNull { version ->
-            val found = trial.verdict(version, predecessor(version, byId), evidence, epochMillis, distrustedBuckets)
+            val found = trial.verdict(version, predecessor(version, byId), evidence, windows, epochMillis)
             val byRating = found?.measure == TrialMeasure.RATINGS
             when {
                 found == null -> {
--- a/decision/src/main/kotlin/dev/almondhaven/decision/rollout/RatingTrust.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/rollout/RatingTrust.kt
@@ -3,16 +3,18 @@
 import dev.almondhaven.decision.choice.EvidenceSubject
 import dev.almondhaven.decision.choice.EvidenceTotals
 import dev.almondhaven.decision.choice.Tally
+import dev.almondhaven.model.ModelVersionId
 
 /**
- * Tells time buckets in which the rating service itself is to blame: a version that turns bad loses quality alone, a
- * rating service that fails or turns hostile lowers the ratings of most versions at once.
+ * Tells times in which the rating service itself is to blame: a version that turns bad loses quality alone, a rating
+ * service that fails or turns hostile lowers the ratings of most versions at once.
  */
 public object RatingTrust {
     private const val LEAST_RATINGS = 10
+    private const val LEAST_WINDOW_RATINGS = 3
     private const val DROP = 0.15
     private const val SUSPICIOUS_SHARE = 0.5
-    private const val LEAST_SUBJECTS = 2
+    private const val LEAST_VERSIONS = 2
 
     /** Buckets whose ratings are to be left out. */
     public fun distrustedBuckets(evidence: EvidenceTotals): Set<Long> {
@@ -20,23 +22,40 @@
         val past = HashMap<EvidenceSubject, Tally>()
         val distrusted = HashSet<Long>()
         for (bucket in subjects.flatMap { evidence.buckets(it).keys }.toSortedSet()) {
-            val rated = subjects.filter { (evidence.buckets(it)[bucket]?.ratings ?: 0) >= LEAST_RATINGS }
-            val comparable = rated.filter { (past[it]?.ratings ?: 0) >= LEAST_RATINGS }
-            val dropped =
-                comparable.filter {
-                    mean(evidence.buckets(it).getValue(bucket)) <
-                        mean(past.getValue(it)) - DROP
-                }
-            val versions = comparable.map { it.version }.distinct().size
-            val droppedVersions = dropped.map { it.version }.distinct().size
-            if (versions >= LEAST_SUBJECTS && droppedVersions > versions * SUSPICIOUS_SHARE) {
+            val rated =
+                subjects
+                    .mapNotNull { subject -> evidence.buckets(subject)[bucket]?.let { subject to it } }
+                    .filter { it.second.ratings >= LEAST_RATINGS }
+            if (fellTogether(rated) { past[it] }) {
                 distrusted += bucket
             } else {
-                rated.forEach { past.merge(it, evidence.buckets(it).getValue(bucket), Tally::plus) }
+                rated.forEach { (subject, tally) -> past.merge(subject, tally, Tally::plus) }
             }
         }
         return distrusted
     }
 
+    /** Whether the ratings of a [window] may count against versions, given their [past]. */
+    public fun trusts(
+        window: Map<EvidenceSubject, Tally>,
+        evidence: EvidenceTotals,
+        past: LongRange,
+    ): Boolean {
+        val rated = window.toList().filter { it.second.ratings >= LEAST_WINDOW_RATINGS }
+        return !fellTogether(rated) { evidence.sum(it, past) }
+    }
+
+    private fun fellTogether(
+        rated: List<Pair<EvidenceSubject, Tally>>,
+        past: (EvidenceSubject) -> Tally?,
+    ): Boolean {
+        val fell = HashMap<ModelVersionId, Boolean>()
+        for ((subject, tally) in rated) {
+            val before = past(subject)?.takeIf { it.ratings >= LEAST_RATINGS } ?: continue
+            fell.merge(subject.version, mean(tally) < mean(before) - DROP, Boolean::or)
+        }
+        return fell.size >= LEAST_VERSIONS && fell.values.count { it } > fell.size * SUSPICIOUS_SHARE
+    }
+
     private fun mean(tally: Tally): Double = tally.ratingSum / tally.ratings
 }
--- a/decision/src/main/kotlin/dev/almondhaven/decision/rollout/VersionTrial.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/rollout/VersionTrial.kt
@@ -24,10 +24,20 @@
 ) {
     public companion object {
         public const val DEFAULT_ROLL_OUT_FALSE_ALARM: Double = 0.01
-        public const val DEFAULT_WINDOW_FALSE_ALARM: Double = 1e-6
+        public const val DEFAULT_WINDOW_FALSE_ALARM: Double = 1e-8
     }
 }
 
+/**
+ * Evidence of the last seconds or minutes.
+ *
+ * @property ratingsTrusted whether its ratings count.
+ */
+public class TrialWindow(
+    public val tallies: Map<EvidenceSubject, Tally>,
+    public val ratingsTrusted: Boolean,
+)
+
 /**
  * Tests a version's error rate, latency and ratings against its predecessor during the roll-out and against its own
  * past afterwards. Every test is always valid, so it may be run on each change of the evidence.
@@ -36,21 +46,18 @@
     private val limits: TrialLimits,
 ) {
     /**
-     * The strongest evidence that [version] is bad beyond its limits, or null as long as there isn't enough. Ratings of
-     * [distrustedBuckets] don't count against its own past; those of a predecessor suffer from the same service.
+     * The strongest evidence that [version] is bad beyond its limits, or null as long as there isn't enough. Its own past
+     * is compared with each of the [recent] windows.
      */
     public fun verdict(
         version: ModelVersion,
         predecessor: ModelVersion?,
         evidence: EvidenceTotals,
+        recent: List<TrialWindow>,
         epochMillis: Long,
-        distrustedBuckets: Set<Long> = emptySet(),
     ): TrialEvidence? {
         val now = EvidencePool.bucketOf(epochMillis)
-        val inService =
-            inServiceFindings(version, evidence, now).filterNot { finding ->
-                finding.measure == TrialMeasure.RATINGS && distrustedBuckets.any { it > now - WINDOW_BUCKETS }
-            }
+        val inService = recent.flatMap { inServiceFindings(version, evidence, it, now) }
         val findings = rollOutFindings(version, predecessor, evidence, now) + inService
         return findings.filter { it.logEvidence > it.threshold }.maxByOrNull { it.logEvidence - it.threshold }
     }
@@ -76,18 +83,20 @@
     private fun inServiceFindings(
         version: ModelVersion,
         evidence: EvidenceTotals,
+        recent: TrialWindow,
         now: Long,
     ): List<TrialEvidence> {
-        val window = (now - WINDOW_BUCKETS + 1)..now
-        val past = (window.first - PAST_BUCKETS) until window.first
-        val rollOut = version.rollOut ?: IN_SERVICE_MARGINS
+        val past = pastBuckets(now)
+        val margins = version.rollOut ?: IN_SERVICE_MARGINS
         val classes = evidence.taskClasses(version.id, version.definedIn)
         val threshold = threshold(limits.windowFalseAlarm, classes.size)
-        return classes.flatMap { taskClass ->
-            val candidate = evidence.sum(subject(version, taskClass), window)
-            val reference = evidence.sum(subject(version, taskClass), past)
-            findings(candidate, reference, rollOut, TrialReference.OWN_PAST, threshold)
-        }
+        val findings =
+            classes.flatMap { taskClass ->
+                val subject = subject(version, taskClass)
+                val candidate = recent.tallies[subject] ?: Tally.EMPTY
+                findings(candidate, evidence.sum(subject, past), margins, TrialReference.OWN_PAST, threshold)
+            }
+        return if (recent.ratingsTrusted) findings else findings.filterNot { it.measure == TrialMeasure.RATINGS }
     }
 
     private fun findings(
@@ -205,11 +214,14 @@
     ): Double = ln(TESTS_PER_CLASS * maxOf(1, classes) * maxOf(1, limits.routers) / falseAlarm)
 
     public companion object {
-        /** Buckets of the sliding window in which a version in service is tested. */
-        public const val WINDOW_BUCKETS: Long = 2
+        /** The newest buckets, which a version's past doesn't include. */
+        private const val RECENT_BUCKETS = 2
+
+        /** Buckets of its own past that a version is compared with: a day. */
+        private const val PAST_BUCKETS = 144
 
-        /** Buckets of its own past that it is compared with: a day. */
-        public const val PAST_BUCKETS: Long = 144
+        /** The buckets that count as a version's past in bucket [now]. */
+        public fun pastBuckets(now: Long): LongRange = (now - RECENT_BUCKETS - PAST_BUCKETS + 1)..(now - RECENT_BUCKETS)
 
         private const val TESTS_PER_CLASS = 4.0
         private const val USUAL_SHARE = 0.75
--- a/experiments/src/main/kotlin/dev/almondhaven/experiments/choice/SimulatedFleet.kt
+++ b/experiments/src/main/kotlin/dev/almondhaven/experiments/choice/SimulatedFleet.kt
@@ -8,6 +8,7 @@
 import dev.almondhaven.decision.choice.TaskClassifier
 import dev.almondhaven.decision.rollout.QuarantinePolicy
 import dev.almondhaven.decision.rollout.QuarantineSet
+import dev.almondhaven.decision.rollout.RecentWindows
 import dev.almondhaven.decision.rollout.TrialLimits
 import dev.almondhaven.model.RouterId
 import org.apache.commons.rng.UniformRandomProvider
@@ -41,6 +42,7 @@
 ) {
     val pool: EvidencePool = EvidencePool(RouterId("router-$id"))
     var quarantines: QuarantineSet = QuarantineSet.EMPTY
+    private val windows = RecentWindows()
     private val policy = QuarantinePolicy(RouterId("router-$id"), TrialLimits(routers = routers))
 
     fun evaluate(
@@ -48,8 +50,9 @@
         now: Long,
     ) {
         pool.advance(now)
+        windows.advance(pool.arrived, now)
         policy
-            .decide(catalogue, quarantines, pool.totals, now, emptySet())
+            .decide(catalogue, quarantines, pool.totals, windows.windows(pool.arrived), now)
             .forEach { quarantines = quarantines.plus(it) }
     }
 }
--- a/router/src/main/kotlin/dev/almondhaven/router/controller/ChoiceController.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/controller/ChoiceController.kt
@@ -10,6 +10,7 @@
 import dev.almondhaven.decision.rollout.QuarantinePolicy
 import dev.almondhaven.decision.rollout.QuarantineSet
 import dev.almondhaven.decision.rollout.RatingTrust
+import dev.almondhaven.decision.rollout.RecentWindows
 import dev.almondhaven.decision.rollout.RollOutReport
 import dev.almondhaven.decision.rollout.TrialLimits
 import dev.almondhaven.model.LogEvent
@@ -75,6 +76,7 @@
 ) : AutoCloseable {
     private val routerId = self
     private val pool = EvidencePool(self)
+    private val windows = RecentWindows()
     private val pending = PendingRatings(MAXIMUM_PENDING_RATINGS)
     private val toTell = ArrayBlockingQueue<EvidenceReading>(MAXIMUM_TO_TELL)
     private var distrusted = emptySet<Long>()
@@ -178,7 +180,9 @@
             noteDistrust(RatingTrust.distrustedBuckets(pool.totals))
         }
         val held = snapshot.quarantines.current { index.version(it)?.definedIn }
-        val found = QuarantinePolicy(routerId, limits()).decide(index.catalogue, held, pool.totals, now, distrusted)
+        windows.advance(pool.arrived, now)
+        val recent = windows.windows(pool.arrived)
+        val found = QuarantinePolicy(routerId, limits()).decide(index.catalogue, held, pool.totals, recent, now)
         found.forEach { announce(it) }
         val quarantines = found.fold(held) { set, quarantine -> set.plus(quarantine) }
         snapshot = ChoiceSnapshot.of(index, pool.totals, quarantines, distrusted, now)
