--- a/decision/src/main/kotlin/dev/almondhaven/decision/choice/EvidencePool.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/choice/EvidencePool.kt
@@ -35,6 +35,7 @@
     private val open = HashMap<EvidenceCell, Tally>()
     private val fleet = HashMap<EvidenceSubject, TreeMap<Long, Tally>>()
     private val arrivals = HashMap<EvidenceSubject, Tally>()
+    private val ownArrivals = HashMap<EvidenceSubject, Tally>()
     private val untold = LinkedHashMap<EvidenceCell, Int>()
     private var firstOpenBucket = 0L
 
@@ -47,6 +48,9 @@
     /** Everything that has come in by subject, whatever its bucket. */
     public val arrived: Map<EvidenceSubject, Tally> get() = arrivals
 
+    /** What this router has counted itself by subject, whatever its bucket. */
+    public val ownArrived: Map<EvidenceSubject, Tally> get() = ownArrivals
+
     /** Changes this router's own tally of [subject] in the bucket of [epochMillis]. */
     public fun record(
         subject: EvidenceSubject,
@@ -82,6 +86,7 @@
         fleet.values.forEach { it.headMap(oldest).clear() }
         fleet.values.removeIf { it.isEmpty() }
         arrivals.keys.retainAll(fleet.keys)
+        ownArrivals.keys.retainAll(fleet.keys)
     }
 
     /** Up to [count] cells to tell a peer, those that changed longest ago first, [urgent] ones before the rest. */
@@ -114,6 +119,7 @@
         val grown = tally - (open.put(cell, tally) ?: Tally.EMPTY)
         fleet.getOrPut(cell.subject) { TreeMap() }.merge(cell.bucket, grown) { left, right -> left + right }
         arrivals.merge(cell.subject, grown) { left, right -> left + right }
+        if (cell.origin == self) ownArrivals.merge(cell.subject, grown) { left, right -> left + right }
         untold.putIfAbsent(cell, TELLINGS)
         untold.replace(cell, TELLINGS)
     }
--- a/decision/src/main/kotlin/dev/almondhaven/decision/rollout/RecentWindows.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/rollout/RecentWindows.kt
@@ -1,24 +1,30 @@
 package dev.almondhaven.decision.rollout
 
+import dev.almondhaven.decision.choice.EvidencePool
 import dev.almondhaven.decision.choice.EvidenceSubject
 import dev.almondhaven.decision.choice.Tally
 
 /**
  * The evidence of the last seconds and minutes, as it came in at this router. Windows restart at several periods, so
- * that a version that turns bad is not measured by the good time before. Not safe for use by several threads.
+ * that a version that turns bad is not measured by the good time before. They are kept of the fleet's evidence and of the
+ * router's own: other routers' readings come late in a large fleet and would thin out what is seen here at once. Not safe
+ * for use by several threads.
  */
-public class RecentWindows {
-    private val marks = PERIODS_MILLIS.map { Mark(it) }
-
-    /** Takes note of the [arrived] evidence at [epochMillis], and restarts the windows whose period is over. */
-    public fun advance(
-        arrived: Map<EvidenceSubject, Tally>,
-        epochMillis: Long,
-    ): Unit = marks.forEach { it.advance(arrived, epochMillis) }
+public class RecentWindows(
+    private val pool: EvidencePool,
+) {
+    private val pooled = PERIODS_MILLIS.map { Mark(it) }
+    private val own = PERIODS_MILLIS.map { Mark(it) }
+
+    /** Restarts the windows whose period is over at [epochMillis]. */
+    public fun advance(epochMillis: Long) {
+        pooled.forEach { it.advance(pool.arrived, epochMillis) }
+        own.forEach { it.advance(pool.ownArrived, epochMillis) }
+    }
 
     /** What has come in since the start of each window, by subject. */
-    public fun windows(arrived: Map<EvidenceSubject, Tally>): List<Map<EvidenceSubject, Tally>> =
-        marks.map { mark -> arrived.mapValues { (subject, tally) -> mark.since(subject, tally) } }
+    public fun windows(): List<Map<EvidenceSubject, Tally>> =
+        pooled.map { it.since(pool.arrived) } + own.map { it.since(pool.ownArrived) }
 
     /** A window that is between one and two [period]s long. */
     private class Mark(
@@ -38,10 +44,8 @@
             next = HashMap(arrived)
         }
 
-        fun since(
-            subject: EvidenceSubject,
-            tally: Tally,
-        ): Tally = start[subject]?.let { tally - it } ?: tally
+        fun since(arrived: Map<EvidenceSubject, Tally>): Map<EvidenceSubject, Tally> =
+            arrived.mapValues { (subject, tally) -> start[subject]?.let { tally - it } ?: tally }
     }
 
     private companion object {
--- a/decision/src/test/kotlin/dev/almondhaven/decision/rollout/TrialScene.kt
+++ b/decision/src/test/kotlin/dev/almondhaven/decision/rollout/TrialScene.kt
@@ -35,7 +35,7 @@
     val other = version("other", definedIn = 1)
     private val random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed)
     private val pool = EvidencePool(RouterId("r"))
-    private val windows = RecentWindows()
+    private val windows = RecentWindows(pool)
     private val policy = QuarantinePolicy(RouterId("r"), limits)
     private var quarantines = QuarantineSet.EMPTY
     private var now = START
@@ -66,9 +66,9 @@
     ): Set<ModelVersion> {
         now += seconds * 1_000
         pool.advance(now)
-        windows.advance(pool.arrived, now)
+        windows.advance(now)
         val catalogue = Catalogue(models = inService.toList())
-        policy.decide(catalogue, quarantines, pool.totals, windows.windows(pool.arrived), now).forEach {
+        policy.decide(catalogue, quarantines, pool.totals, windows.windows(), now).forEach {
             quarantines =
                 quarantines.plus(it)
         }
--- a/experiments/src/main/kotlin/dev/almondhaven/experiments/Experiments.kt
+++ b/experiments/src/main/kotlin/dev/almondhaven/experiments/Experiments.kt
@@ -1,5 +1,7 @@
 package dev.almondhaven.experiments
 
+import dev.almondhaven.experiments.distribution.DistributionExperiment
+import dev.almondhaven.experiments.distribution.MembershipExperiment
 import dev.almondhaven.experiments.choice.ModelChoiceExperiment
 import dev.almondhaven.experiments.overhead.OverheadExperiment
 
@@ -9,6 +11,8 @@
     public val ALL: List<Experiment> =
         listOf(
             OverheadExperiment(),
+            MembershipExperiment(),
+            DistributionExperiment(),
             ModelChoiceExperiment(),
         )
 }
--- a/experiments/src/main/kotlin/dev/almondhaven/experiments/choice/SimulatedFleet.kt
+++ b/experiments/src/main/kotlin/dev/almondhaven/experiments/choice/SimulatedFleet.kt
@@ -42,7 +42,7 @@
 ) {
     val pool: EvidencePool = EvidencePool(RouterId("router-$id"))
     var quarantines: QuarantineSet = QuarantineSet.EMPTY
-    private val windows = RecentWindows()
+    private val windows = RecentWindows(pool)
     private val policy = QuarantinePolicy(RouterId("router-$id"), TrialLimits(routers = routers))
 
     fun evaluate(
@@ -50,9 +50,9 @@
         now: Long,
     ) {
         pool.advance(now)
-        windows.advance(pool.arrived, now)
+        windows.advance(now)
         policy
-            .decide(catalogue, quarantines, pool.totals, windows.windows(pool.arrived), now)
+            .decide(catalogue, quarantines, pool.totals, windows.windows(), now)
             .forEach { quarantines = quarantines.plus(it) }
     }
 }
--- a/model/src/main/kotlin/dev/almondhaven/model/LogEvent.kt
+++ b/model/src/main/kotlin/dev/almondhaven/model/LogEvent.kt
@@ -44,11 +44,19 @@
     SESSION_HOLDER_SILENT(3103, Level.WARN, "No holder of a session's version answered."),
 
     ENDPOINT_ANSWER_BAD(4001, Level.WARN, "An endpoint's answer failed or could not be read."),
+    ENDPOINT_EJECTED(4002, Level.WARN, "An endpoint failed repeatedly and gets no requests for a while."),
+    ENDPOINT_COLD(4003, Level.INFO, "An endpoint is cold; it is ramped from a small limit."),
+    ANSWER_RESUMED(4004, Level.INFO, "A streamed answer goes on at another endpoint."),
 
     CLAIM_WRITE_UNSETTLED(5001, Level.WARN, "A read or write of claims failed; it is tried again."),
     CLAIM_OPERATION_DROPPED(5002, Level.WARN, "Too many claim operations wait; one was not taken."),
     CLAIM_OUTCOME_UNKNOWN(5003, Level.WARN, "A non-idempotent call got an error whose outcome is unknown."),
     CLAIM_SHARDS_DELETED(5004, Level.INFO, "Claims from before the retention window were deleted."),
+
+    BILLING_OVERFLOWED(5101, Level.ERROR, "A billing record found no room and is lost."),
+    BILLING_WRITE_FAILED(5102, Level.WARN, "Billing records could not be written to the platform; they are kept."),
+    BILLING_ORPHANS_TAKEN(5103, Level.INFO, "The records of a router that is gone are stored from their copy."),
+    BILLING_LEFT_UNSTORED(5104, Level.WARN, "The router stops with records that only a peer's copy holds."),
     ;
 
     /** Logs this event to [logger] with [detail], which ought to be `name=value` pairs. */
--- a/router/src/main/kotlin/dev/almondhaven/router/controller/ChoiceController.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/controller/ChoiceController.kt
@@ -76,7 +76,7 @@
 ) : AutoCloseable {
     private val routerId = self
     private val pool = EvidencePool(self)
-    private val windows = RecentWindows()
+    private val windows = RecentWindows(pool)
     private val pending = PendingRatings(MAXIMUM_PENDING_RATINGS)
     private val toTell = ArrayBlockingQueue<EvidenceReading>(MAXIMUM_TO_TELL)
     private var distrusted = emptySet<Long>()
@@ -180,9 +180,9 @@
             noteDistrust(RatingTrust.distrustedBuckets(pool.totals))
         }
         val held = snapshot.quarantines.current { index.version(it)?.definedIn }
-        windows.advance(pool.arrived, now)
-        val recent = windows.windows(pool.arrived)
-        val found = QuarantinePolicy(routerId, limits()).decide(index.catalogue, held, pool.totals, recent, now)
+        windows.advance(now)
+        val policy = QuarantinePolicy(routerId, limits())
+        val found = policy.decide(index.catalogue, held, pool.totals, windows.windows(), now)
         found.forEach { announce(it) }
         val quarantines = found.fold(held) { set, quarantine -> set.plus(quarantine) }
         snapshot = ChoiceSnapshot.of(index, pool.totals, quarantines, distrusted, now)
--- a/router/src/main/kotlin/dev/almondhaven/router/filter/RequestJournal.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/filter/RequestJournal.kt
@@ -6,6 +6,8 @@
 import dev.almondhaven.model.Outcome
 import dev.almondhaven.model.Refusal
 import java.util.concurrent.CompletableFuture
+import java.util.concurrent.atomic.AtomicBoolean
+import java.util.concurrent.atomic.AtomicInteger
 
 /** Tokens that an answer cost. */
 public data class Usage(
@@ -13,8 +15,8 @@
     public val completionTokens: Long,
 )
 
-/** A step of a request that ran, but whose answer the caller doesn't get; it is billed all the same. */
-public data class DiscardedStep(
+/** One run of a request on one version: a request has one, or two if a cascade escalated. Each is billed. */
+public data class RequestStep(
     public val version: ModelVersionId?,
     public val endpoint: EndpointId?,
     public val usage: Usage?,
@@ -28,10 +30,10 @@
 
 /** What has happened to a request so far, over all its attempts. Safe to use from any thread. */
 public class RequestJournal {
-    /** Whether a byte of the request may have reached an endpoint. */
-    @Volatile
-    public var dispatched: Boolean = false
-        private set
+    private val possiblyRun = AtomicInteger()
+
+    /** Whether a byte of any attempt of the request may have reached an endpoint. */
+    public val dispatched: Boolean get() = possiblyRun.get() > 0
 
     /** The version that gave the answer the caller gets. */
     @Volatile
@@ -58,9 +60,15 @@
         firstUseProven = true
     }
 
-    /** Notes that bytes of the request are about to be sent to an endpoint. */
+    /** Notes that bytes of an attempt are about to be sent to an endpoint. */
     public fun recordDispatch() {
-        dispatched = true
+        possiblyRun.incrementAndGet()
+    }
+
+    /** Takes one [recordDispatch] back: the connection failed before any byte of that attempt was written. */
+    public fun recordUnsent() {
+        val left = possiblyRun.decrementAndGet()
+        check(left >= 0) { "more attempts taken back than dispatched: $left" }
     }
 
     /** Notes who gives the answer. */
@@ -113,13 +121,13 @@
 
     /** Earlier steps of a cascade whose answers the caller doesn't get. */
     @Volatile
-    public var discardedSteps: List<DiscardedStep> = emptyList()
+    public var discardedSteps: List<RequestStep> = emptyList()
         private set
 
     /** Notes that the caller won't get the answer recorded last. */
     @Synchronized
     public fun discardStep() {
-        discardedSteps = discardedSteps + DiscardedStep(servedVersion, servedEndpoint, usage)
+        discardedSteps = discardedSteps + RequestStep(servedVersion, servedEndpoint, usage)
         servedVersion = null
         servedEndpoint = null
         usage = null
@@ -136,6 +144,11 @@
     }
 
     private val ended = CompletableFuture<Unit>()
+    private val endRecorded = AtomicBoolean()
+    private val holds = AtomicInteger(1)
+
+    /** Whether the request has ended. */
+    public val hasEnded: Boolean get() = ended.isDone
 
     /** Runs [action] once the request has ended: its answer is written whole, or failed, or the caller has left. */
     public fun whenEnded(action: () -> Unit) {
@@ -144,7 +157,18 @@
 
     /** Notes that the request has ended; only the first call has an effect. */
     public fun recordEnd() {
-        ended.complete(Unit)
+        if (endRecorded.compareAndSet(false, true)) release()
+    }
+
+    /** Puts the end of the request off until the returned function is called, as long as the request hasn't ended. */
+    public fun hold(): () -> Unit {
+        holds.incrementAndGet()
+        val released = AtomicBoolean()
+        return { if (released.compareAndSet(false, true)) release() }
+    }
+
+    private fun release() {
+        if (holds.decrementAndGet() == 0) ended.complete(Unit)
     }
 
     /** The outcome of an error: `not_run` only as long as nothing was dispatched. */
--- a/router/src/main/kotlin/dev/almondhaven/router/filter/VersionPolicy.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/filter/VersionPolicy.kt
@@ -38,7 +38,8 @@
             return Refusal(ResultCode.UNKNOWN_MODEL, "${version.id} is no longer allowed", outcome)
         }
         val current = index.version(version.id) ?: version
-        if (!choosesFreely(exchange) || !quarantines().holds(current)) return null
+        val alreadyAnswering = exchange.resumeAfter > 0
+        if (alreadyAnswering || !choosesFreely(exchange) || !quarantines().holds(current)) return null
         val usable = quarantines().usable(covered(index, exchange))
         if (usable.any { it.id == version.id }) return null
         return Refusal(ResultCode.VERSION_QUARANTINED, "${version.id} is in quarantine", outcome)
--- a/router/src/test/kotlin/dev/almondhaven/router/filter/ModelChoiceFilterTest.kt
+++ b/router/src/test/kotlin/dev/almondhaven/router/filter/ModelChoiceFilterTest.kt
@@ -100,7 +100,7 @@
             scene.run(exchange) { ChoiceScene.whole("any", unsure) }
 
             expectThat(exchange.journal.discardedSteps)
-                .containsExactly(DiscardedStep(scene.small.id, EndpointId("e"), Usage(10, 5)))
+                .containsExactly(RequestStep(scene.small.id, EndpointId("e"), Usage(10, 5)))
             expectThat(exchange.journal.servedVersion).isEqualTo(scene.large.id)
             expectThat(exchange.journal.usage).isEqualTo(Usage(10, 5))
         }
