--- a/experiments/src/main/kotlin/dev/almondhaven/experiments/Experiments.kt
+++ b/experiments/src/main/kotlin/dev/almondhaven/experiments/Experiments.kt
@@ -1,8 +1,8 @@
 package dev.almondhaven.experiments
 
+import dev.almondhaven.experiments.choice.ModelChoiceExperiment
 import dev.almondhaven.experiments.distribution.DistributionExperiment
 import dev.almondhaven.experiments.distribution.MembershipExperiment
-import dev.almondhaven.experiments.choice.ModelChoiceExperiment
 import dev.almondhaven.experiments.overhead.OverheadExperiment
 
 /** Every experiment that `bin/measure` knows. */
--- a/router/src/main/kotlin/dev/almondhaven/router/billing/BillingTap.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/billing/BillingTap.kt
@@ -5,8 +5,8 @@
 import dev.almondhaven.model.ModelVersionId
 import dev.almondhaven.model.ServiceId
 import dev.almondhaven.router.controller.CatalogueHolder
-import dev.almondhaven.router.filter.RequestStep
 import dev.almondhaven.router.filter.Exchange
+import dev.almondhaven.router.filter.RequestStep
 import dev.almondhaven.router.filter.Usage
 import kotlin.math.roundToLong
 
--- a/router/src/main/kotlin/dev/almondhaven/router/filter/RequestPlanner.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/filter/RequestPlanner.kt
@@ -103,7 +103,8 @@
         )
 
     private fun mayEscalate(exchange: Exchange): Boolean =
-        exchange.call.idempotent && policy.choosesFreely(exchange) && !exchange.headers.contains(SessionFilter.ID_HEADER)
+        exchange.call.idempotent && policy.choosesFreely(exchange) &&
+            !exchange.headers.contains(SessionFilter.ID_HEADER)
 
     /** A caller or session that names its version gets it, whatever is expected of it. */
     private fun refuses(
