--- a/decision/src/main/kotlin/dev/almondhaven/decision/choice/Tally.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/choice/Tally.kt
@@ -15,10 +15,10 @@
     /** Requests that ended in an error of the endpoint. */
     public val errors: Long get() = counters[ERRORS]
 
-    /** Ratings that came in. */
+    /** Ratings that came in, but for those of escalated requests. */
     public val ratings: Long get() = unjudgedRatings + ConfidenceBand.ALL.sumOf { ratings(it) }
 
-    /** Sum of the ratings, each from 0 to 1. */
+    /** Sum of the [ratings], each from 0 to 1. */
     public val ratingSum: Double get() = unjudgedRatingSum + ConfidenceBand.ALL.sumOf { ratingSum(it) }
 
     /** Ratings of answers whose confidence isn't known. */
@@ -39,9 +39,24 @@
     /** Sum of the ratings of answers whose confidence was [band]. */
     public fun ratingSum(band: ConfidenceBand): Double = counters[RATING_SUMS + band.ordinal] / RATING_UNITS
 
+    /** Ratings of answers to requests that were escalated to the version; they are harder than the usual ones. */
+    public val escalatedRatings: Long get() = counters[ESCALATED_RATINGS]
+
+    /** Sum of the ratings of answers to requests that were escalated to the version. */
+    public val escalatedRatingSum: Double get() = counters[ESCALATED_RATING_SUM] / RATING_UNITS
+
     /** Requests in latency band [band] or slower. */
     public fun slowerThan(band: Int): Long = (band until LATENCY_BANDS).sumOf { counters[LATENCIES + it] }
 
+    /** The [ratings] in rating band [band] or lower. */
+    public fun ratedAtMost(band: Int): Long = (0..band).sumOf { counters[RATING_HISTOGRAM + it] }
+
+    /** The highest rating band that at least [share] of the [ratings] don't fall short of. */
+    public fun ratingQuantileBand(share: Double): Int {
+        val wanted = ratings * share
+        return (RATING_BANDS - 1 downTo 1).firstOrNull { ratings - ratedAtMost(it - 1) >= wanted } ?: 0
+    }
+
     /** The lowest latency band that at least [share] of the timed requests don't exceed. */
     public fun latencyQuantileBand(share: Double): Int {
         val wanted = timed * share
@@ -77,6 +92,16 @@
         next[if (confidence == null) UNJUDGED_RATINGS else RATINGS + confidence.ordinal]++
         val sum = if (confidence == null) UNJUDGED_RATING_SUM else RATING_SUMS + confidence.ordinal
         next[sum] += Math.round(rating * RATING_UNITS)
+        next[RATING_HISTOGRAM + ratingBand(rating)]++
+        return Tally(next)
+    }
+
+    /** With one more rating, from 0 to 1, of an answer to a request that was escalated to the version. */
+    public fun plusEscalatedRating(rating: Double): Tally {
+        require(rating in 0.0..1.0) { "rating must be from 0 to 1, got $rating" }
+        val next = counters.copyOf()
+        next[ESCALATED_RATINGS]++
+        next[ESCALATED_RATING_SUM] += Math.round(rating * RATING_UNITS)
         return Tally(next)
     }
 
@@ -112,15 +137,21 @@
         private const val RATING_SUMS = 10
         private const val UNJUDGED_RATINGS = 14
         private const val UNJUDGED_RATING_SUM = 15
-        private const val LATENCIES = 16
-        private const val SIZE = 34
+        private const val ESCALATED_RATINGS = 16
+        private const val ESCALATED_RATING_SUM = 17
+        private const val LATENCIES = 18
+        private const val RATING_HISTOGRAM = 36
+        private const val SIZE = 46
         private const val RADIX = 36
 
         /** A rating is counted in thousandths. */
         private const val RATING_UNITS = 1_000.0
 
         /** Latency bands, each half an octave wide, the first one up to a millisecond per token. */
-        public const val LATENCY_BANDS: Int = SIZE - LATENCIES
+        public const val LATENCY_BANDS: Int = RATING_HISTOGRAM - LATENCIES
+
+        /** Bands of ratings, each a tenth wide. */
+        public const val RATING_BANDS: Int = SIZE - RATING_HISTOGRAM
 
         private const val BANDS_PER_OCTAVE = 2
 
@@ -143,6 +174,16 @@
             return (1 + (octaves * BANDS_PER_OCTAVE).toInt()).coerceAtMost(LATENCY_BANDS - 1)
         }
 
+        /** The rating band of [rating]. */
+        public fun ratingBand(rating: Double): Int = (rating * RATING_BANDS).toInt().coerceIn(0, RATING_BANDS - 1)
+
+        /** Bands by which ratings differ whose difference is [difference], rounded up. */
+        public fun bandsOfRatingDifference(difference: Double): Int =
+            kotlin.math
+                .ceil(difference * RATING_BANDS)
+                .toInt()
+                .coerceAtLeast(1)
+
         /** Bands by which latencies differ whose ratio is [ratio], rounded up. */
         public fun bandsOfRatio(ratio: Double): Int =
             kotlin.math
--- a/experiments/src/main/kotlin/dev/almondhaven/experiments/Experiments.kt
+++ b/experiments/src/main/kotlin/dev/almondhaven/experiments/Experiments.kt
@@ -2,6 +2,7 @@
 
 import dev.almondhaven.experiments.capacity.RouterCostExperiment
 import dev.almondhaven.experiments.deployment.DeploymentsExperiment
+import dev.almondhaven.experiments.choice.ModelChoiceExperiment
 import dev.almondhaven.experiments.distribution.DistributionExperiment
 import dev.almondhaven.experiments.distribution.MembershipExperiment
 import dev.almondhaven.experiments.overhead.OverheadExperiment
@@ -16,5 +17,6 @@
             DistributionExperiment(),
             DeploymentsExperiment(),
             RouterCostExperiment(),
+            ModelChoiceExperiment(),
         )
 }
--- a/router/src/main/kotlin/dev/almondhaven/router/controller/ChoiceController.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/controller/ChoiceController.kt
@@ -10,6 +10,8 @@
 import dev.almondhaven.decision.rollout.QuarantinePolicy
 import dev.almondhaven.decision.rollout.QuarantineSet
 import dev.almondhaven.decision.rollout.RatingTrust
+import dev.almondhaven.decision.rollout.RecentWindows
+import dev.almondhaven.decision.rollout.RollOutReport
 import dev.almondhaven.decision.rollout.TrialLimits
 import dev.almondhaven.model.LogEvent
 import dev.almondhaven.model.Rating
@@ -26,6 +28,7 @@
  * One step of a request that has ended.
  *
  * @property delivered whether the caller gets the answer, so that a rating of it may follow.
+ * @property escalated whether another version was tried before.
  */
 internal data class StepObservation(
     val requestId: RequestId,
@@ -34,6 +37,7 @@
     val millisecondsPerToken: Double?,
     val confidence: ConfidenceBand?,
     val delivered: Boolean,
+    val escalated: Boolean = false,
 )
 
 /** A reading of another router's evidence. */
@@ -72,10 +76,12 @@
 ) : AutoCloseable {
     private val routerId = self
     private val pool = EvidencePool(self)
+    private val windows = RecentWindows(pool)
     private val pending = PendingRatings(MAXIMUM_PENDING_RATINGS)
     private val toTell = ArrayBlockingQueue<EvidenceReading>(MAXIMUM_TO_TELL)
     private var distrusted = emptySet<Long>()
-    private var lastEvaluation = Long.MIN_VALUE
+    private var lastEvaluation = 0L
+    private var lastDistrustCheck = 0L
 
     @Volatile
     private var duty: DutyThread<ChoiceMessage>? = null
@@ -118,6 +124,12 @@
     /** The next reading to tell a peer, or null when nothing has changed. */
     fun nextReading(): EvidenceReading? = toTell.poll()
 
+    /** What operators are told. */
+    fun report(): RollOutReport {
+        val known = snapshot
+        return RollOutReport.of(holder.index.catalogue, known.quarantines, known.ratingsDistrusted, clock.millis())
+    }
+
     private fun take(message: ChoiceMessage): Unit =
         when (message) {
             is ChoiceMessage.Observed -> take(message.observation)
@@ -131,14 +143,25 @@
             it.plusRequest(observation.failed, observation.millisecondsPerToken, observation.confidence)
         }
         if (observation.delivered && !observation.failed) {
-            pending.expect(observation.requestId, RatedAnswer(observation.subject, observation.confidence))
+            pending.expect(
+                observation.requestId,
+                RatedAnswer(observation.subject, observation.confidence, observation.escalated),
+            )
         }
     }
 
     private fun take(rating: Rating) {
         if (rating.rating.isNaN() || rating.rating !in 0.0..1.0) return
         val answer = pending.take(rating.requestId) ?: return
-        pool.record(answer.subject, clock.millis()) { it.plusRating(rating.rating, answer.confidence) }
+        pool.record(answer.subject, clock.millis()) { tally ->
+            if (answer.escalated) {
+                tally.plusEscalatedRating(
+                    rating.rating,
+                )
+            } else {
+                tally.plusRating(rating.rating, answer.confidence)
+            }
+        }
     }
 
     private fun tick() {
@@ -152,9 +175,14 @@
 
     private fun evaluate(now: Long) {
         val index = holder.index
-        noteDistrust(RatingTrust.distrustedBuckets(pool.totals))
+        if (now - lastDistrustCheck >= DISTRUST_CHECK_MILLIS) {
+            lastDistrustCheck = now
+            noteDistrust(RatingTrust.distrustedBuckets(pool.totals))
+        }
         val held = snapshot.quarantines.current { index.version(it)?.definedIn }
-        val found = QuarantinePolicy(routerId, limits()).decide(index.catalogue, held, pool.totals, now)
+        windows.advance(now)
+        val policy = QuarantinePolicy(routerId, limits())
+        val found = policy.decide(index.catalogue, held, pool.totals, windows.windows(), now)
         found.forEach { announce(it) }
         val quarantines = found.fold(held) { set, quarantine -> set.plus(quarantine) }
         snapshot = ChoiceSnapshot.of(index, pool.totals, quarantines, distrusted, now)
@@ -197,6 +225,7 @@
         const val MAXIMUM_TO_TELL = 128
         const val MAXIMUM_PENDING_RATINGS = 50_000
         const val EVALUATION_MILLIS = 1_000L
+        const val DISTRUST_CHECK_MILLIS = 5_000L
         val TICK = 250.milliseconds
     }
 }
--- a/router/src/main/kotlin/dev/almondhaven/router/filter/RequestPlanner.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/filter/RequestPlanner.kt
@@ -83,7 +83,7 @@
         snapshot: ChoiceSnapshot,
         taskClass: TaskClass,
     ): List<Candidate> {
-        val key = exchange.headers.get(SESSION_HEADER) ?: exchange.requestId.value
+        val key = exchange.headers.get(SessionFilter.ID_HEADER) ?: exchange.requestId.value
         return policy.candidates(exchange, key, wallClock.millis()).map { version ->
             Candidate(version, snapshot.estimate(version, taskClass), conditions.of(version.id))
         }
@@ -103,7 +103,8 @@
         )
 
     private fun mayEscalate(exchange: Exchange): Boolean =
-        exchange.call.idempotent && policy.choosesFreely(exchange) && !exchange.headers.contains(SESSION_HEADER)
+        exchange.call.idempotent && policy.choosesFreely(exchange) &&
+            !exchange.headers.contains(SessionFilter.ID_HEADER)
 
     /** A caller or session that names its version gets it, whatever is expected of it. */
     private fun refuses(
@@ -128,7 +129,6 @@
 
     private companion object {
         const val TASK_CLASS_HEADER = "x-task-class"
-        const val SESSION_HEADER = "x-session-id"
         const val BYTES_PER_TOKEN = 4
         const val NANOS_PER_MILLISECOND = 1_000_000L
     }
