Show per failure domain what is in force, and hand new configurations straight to routers

Change: almondhaven status (text and JSON, exit code 7 when not confirmed everywhere) over the peer protocol's status message; note publish and domain commands push to the routers named.

--- a/operator/src/main/kotlin/dev/almondhaven/operator/DomainCommands.kt
+++ b/operator/src/main/kotlin/dev/almondhaven/operator/DomainCommands.kt
@@ -30,6 +30,7 @@
     private val id by option(help = "Id of this act; give the same one again to settle an act that got no answer.")
     private val platform by PlatformOptions()
     private val publisher by PublisherOptions()
+    private val routers by RouterOptions()
 
     /** The entry to publish. */
     protected abstract fun entry(
@@ -46,6 +47,7 @@
         repeat(CONFLICT_RETRIES) { if (overtaken(result)) result = platform.store.publish(entry, who) }
         val accepted = result.fold({ throw withId(it, actId) }, { it })
         echo("failure domain $domain is $done as generation ${accepted.generation}")
+        pushToRouters(routers, platform)
     }
 
     /** Another entry came first; this one doesn't depend on it. */
--- a/operator/src/main/kotlin/dev/almondhaven/operator/NoteCommands.kt
+++ b/operator/src/main/kotlin/dev/almondhaven/operator/NoteCommands.kt
@@ -100,6 +100,7 @@
 /** Publishes a release note. */
 internal class NotePublishCommand : NoteFileCommand(name = "publish") {
     private val publisher by PublisherOptions()
+    private val routers by RouterOptions()
     private val on by option(help = "Publish only if this generation is in force.", metavar = "generation").long()
 
     override fun help(context: Context): String =
@@ -123,6 +124,7 @@
                 .fold({ throw failureOf(it) }, { it })
         val before = if (accepted.already) "was already" else "is"
         echo("note ${entry.id} $before accepted as generation ${accepted.generation}")
+        pushToRouters(routers, platform)
     }
 
     /** A conflict is told with the entries that came in between, as far as the platform answers. */
--- a/operator/src/main/kotlin/dev/almondhaven/operator/OperatorFailure.kt
+++ b/operator/src/main/kotlin/dev/almondhaven/operator/OperatorFailure.kt
@@ -23,6 +23,9 @@
 
     /** The audit trail doesn't verify. */
     public const val AUDIT_BROKEN: Int = 6
+
+    /** Not every router confirms the accepted generation. */
+    public const val NOT_CONFIRMED: Int = 7
 }
 
 /** A command's failure as the terminal shows it: number, name and what exactly went wrong. */
--- a/operator/src/main/kotlin/dev/almondhaven/operator/OperatorMain.kt
+++ b/operator/src/main/kotlin/dev/almondhaven/operator/OperatorMain.kt
@@ -22,6 +22,7 @@
             ),
             DomainCommand().subcommands(DomainTakeOutCommand(), DomainReturnCommand()),
             AuditCommand(),
+            StatusCommand(),
             ExplainCommand(),
         )
 
@@ -33,7 +34,7 @@
         A first round: almondhaven note check NOTE, almondhaven note diff NOTE, almondhaven note publish NOTE.
 
         Exit codes: 0 done, 1 wrong usage, 2 wrong document, 3 conflict, 4 platform unavailable and nothing changed,
-        5 not known yet (run the same command again), 6 the audit trail is broken.
+        5 not known yet (run the same command again), 6 the audit trail is broken, 7 not confirmed everywhere.
         """.trimIndent()
 
     override fun run(): Unit = Unit
--- /dev/null
+++ b/operator/src/main/kotlin/dev/almondhaven/operator/RouterClient.kt
@@ -0,0 +1,86 @@
+package dev.almondhaven.operator
+
+import com.linecorp.armeria.client.WebClient
+import com.linecorp.armeria.common.AggregatedHttpResponse
+import com.linecorp.armeria.common.HttpMethod
+import com.linecorp.armeria.common.HttpStatus
+import com.linecorp.armeria.common.MediaType
+import com.linecorp.armeria.common.RequestHeaders
+import dev.almondhaven.catalogue.Catalogue
+import dev.almondhaven.peer.ConfigurationHeld
+import dev.almondhaven.peer.ConfigurationPush
+import dev.almondhaven.peer.PeerKeyRing
+import dev.almondhaven.peer.PeerProtocol
+import dev.almondhaven.peer.PeerStatus
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.SerializationException
+import java.util.concurrent.CompletableFuture
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** Speaks the peer protocol with routers on an operator's behalf. A router that doesn't answer in time gives null. */
+internal class RouterClient(
+    private val keys: PeerKeyRing,
+) {
+    /** What the router at [address] (`ip:port`) tells of itself. */
+    fun status(address: String): CompletableFuture<PeerStatus?> =
+        call(address, HttpMethod.GET, PeerProtocol.STATUS, body = "", PeerStatus.serializer())
+
+    /** Hands the router at [address] a [catalogue] that was accepted. */
+    fun push(
+        address: String,
+        catalogue: Catalogue,
+    ): CompletableFuture<ConfigurationHeld?> {
+        val body = PeerProtocol.json.encodeToString(ConfigurationPush.serializer(), ConfigurationPush(catalogue))
+        return call(address, HttpMethod.POST, PeerProtocol.CONFIGURATION, body, ConfigurationHeld.serializer())
+    }
+
+    private fun <T> call(
+        address: String,
+        method: HttpMethod,
+        path: String,
+        body: String,
+        serializer: KSerializer<T>,
+    ): CompletableFuture<T?> {
+        val fullPath = PeerProtocol.PATH_PREFIX + path
+        val signature = keys.signRequest(fullPath, body)
+        val headers =
+            RequestHeaders
+                .builder(method, fullPath)
+                .contentType(MediaType.JSON)
+                .set(PeerProtocol.SIGNATURE_HEADER, signature)
+                .build()
+        return client(address)
+            .execute(headers, body)
+            .aggregate()
+            .handle { response, cause -> if (cause == null) read(response, signature, serializer) else null }
+    }
+
+    private fun client(address: String): WebClient =
+        WebClient
+            .builder("http://$address")
+            .responseTimeoutMillis(TIMEOUT.inWholeMilliseconds)
+            .maxResponseLength(MAXIMUM_ANSWER_BYTES)
+            .build()
+
+    private fun <T> read(
+        response: AggregatedHttpResponse,
+        requestSignature: String,
+        serializer: KSerializer<T>,
+    ): T? {
+        val text = response.contentUtf8()
+        val signature = response.headers().get(PeerProtocol.SIGNATURE_HEADER).orEmpty()
+        val genuine = keys.verifiesAnswer(signature, requestSignature, text)
+        if (response.status() != HttpStatus.OK || !genuine) return null
+        return try {
+            PeerProtocol.json.decodeFromString(serializer, text)
+        } catch (_: SerializationException) {
+            null
+        }
+    }
+
+    private companion object {
+        val TIMEOUT: Duration = 2.seconds
+        const val MAXIMUM_ANSWER_BYTES = 4_000_000L
+    }
+}
