--- a/experiments/src/main/kotlin/dev/almondhaven/experiments/Experiments.kt
+++ b/experiments/src/main/kotlin/dev/almondhaven/experiments/Experiments.kt
@@ -1,5 +1,7 @@
 package dev.almondhaven.experiments
 
+import dev.almondhaven.experiments.configuration.PublishingExperiment
+import dev.almondhaven.experiments.configuration.SessionExperiment
 import dev.almondhaven.experiments.overhead.OverheadExperiment
 
 /** Every experiment that `bin/measure` knows. */
@@ -8,5 +10,7 @@
     public val ALL: List<Experiment> =
         listOf(
             OverheadExperiment(),
+            PublishingExperiment(),
+            SessionExperiment(),
         )
 }
