--- a/decision/src/main/kotlin/dev/almondhaven/decision/retry/FullJitterBackoff.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/retry/FullJitterBackoff.kt
@@ -14,7 +14,6 @@
 public class FullJitterBackoff(
     private val base: Duration,
     private val cap: Duration,
-    private val random: UniformRandomProvider,
 ) {
     init {
         require(base.isPositive()) { "base must be positive, got $base" }
@@ -22,7 +21,10 @@
     }
 
     /** How long to wait after attempt number [attempt], from 1. */
-    public fun delay(attempt: Int): Duration {
+    public fun delay(
+        attempt: Int,
+        random: UniformRandomProvider,
+    ): Duration {
         val doublings = (attempt - 1).coerceIn(0, MAXIMUM_DOUBLINGS)
         val bound = minOf(cap, base * (1L shl doublings).toDouble())
         return random.nextLong(bound.inWholeNanoseconds + 1).nanoseconds
--- /dev/null
+++ b/decision/src/test/kotlin/dev/almondhaven/decision/endpoint/EndpointHealthTest.kt
@@ -0,0 +1,79 @@
+package dev.almondhaven.decision.endpoint
+
+import io.kotest.property.Arb
+import io.kotest.property.PropTestConfig
+import io.kotest.property.arbitrary.int
+import io.kotest.property.arbitrary.list
+import io.kotest.property.checkAll
+import kotlinx.coroutines.runBlocking
+import org.apache.commons.rng.simple.RandomSource
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.containsExactly
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isLessThan
+import strikt.assertions.isTrue
+import kotlin.time.Duration.Companion.seconds
+
+class EndpointHealthTest {
+    private val random = RandomSource.SPLIT_MIX_64.create(1L)
+    private val later = 2.seconds.inWholeNanoseconds
+
+    private fun group(size: Int): List<EndpointHealth> =
+        EjectionGroup().let { group ->
+            List(size) {
+                EndpointHealth(group)
+            }
+        }
+
+    private fun EndpointHealth.failThrice(now: Long = 0): Boolean = (1..3).map { recordFailure(now, random) }.last()
+
+    @Nested
+    inner class `an endpoint that fails repeatedly` {
+        @Test
+        fun `is ejected, probed by one request and restored`() {
+            val endpoint = group(3).first()
+            val ejected = endpoint.failThrice()
+            val during = endpoint.tryUse(1)
+            val probes = List(2) { endpoint.tryUse(later) }
+            val restored = endpoint.recordSuccess()
+
+            expectThat(listOf(ejected, during) + probes + listOf(restored, endpoint.tryUse(later)))
+                .containsExactly(true, false, true, false, true, true)
+        }
+
+        @Test
+        fun `stays out for longer when the probe fails`() {
+            val endpoint = group(3).first()
+            endpoint.failThrice()
+            endpoint.tryUse(later)
+            endpoint.recordFailure(later, random)
+
+            expectThat(endpoint.refuses(later + 1.seconds.inWholeNanoseconds)).isTrue()
+        }
+
+        @Test
+        fun `is kept when it is the last one`() {
+            expectThat(group(1).first().failThrice()).isFalse()
+        }
+    }
+
+    @Nested
+    inner class `a pool` {
+        @Test
+        fun `keeps three in ten endpoints whatever fails`() {
+            runBlocking {
+                checkAll(PropTestConfig(seed = 49), Arb.int(1..40), Arb.list(Arb.int(0..39), 0..400)) { size, failing ->
+                    val members = group(size)
+                    failing.forEach { members[it % size].recordFailure(0, random) }
+                    val ejected = members.count { it.ejected }
+
+                    expectThat(ejected).isLessThan(size)
+                    expectThat(ejected <= size * 0.7).isEqualTo(true)
+                }
+            }
+        }
+    }
+}
--- a/experiments/src/main/kotlin/dev/almondhaven/experiments/Experiments.kt
+++ b/experiments/src/main/kotlin/dev/almondhaven/experiments/Experiments.kt
@@ -2,6 +2,8 @@
 
 import dev.almondhaven.experiments.configuration.PublishingExperiment
 import dev.almondhaven.experiments.configuration.SessionExperiment
+import dev.almondhaven.experiments.distribution.DistributionExperiment
+import dev.almondhaven.experiments.distribution.MembershipExperiment
 import dev.almondhaven.experiments.overhead.OverheadExperiment
 
 /** Every experiment that `bin/measure` knows. */
@@ -12,5 +14,7 @@
             OverheadExperiment(),
             PublishingExperiment(),
             SessionExperiment(),
+            MembershipExperiment(),
+            DistributionExperiment(),
         )
 }
--- a/model/src/main/kotlin/dev/almondhaven/model/ResultCode.kt
+++ b/model/src/main/kotlin/dev/almondhaven/model/ResultCode.kt
@@ -42,6 +42,8 @@
     ANSWER_CUT(4005, 502, "The endpoint's answer ended before it was complete."),
     DEADLINE_EXCEEDED(4006, 504, "The request's deadline passed."),
     OVERLOADED(4007, 429, "More requests wait or run than the limits allow."),
+    ENDPOINT_SILENT(4008, 504, "The endpoint sent nothing for longer than the silence deadline."),
+    CALLER_TOO_SLOW(4009, 408, "The caller took nothing of its answer for longer than the stall deadline."),
 
     INTERNAL_ERROR(5001, 500, "The router met an unexpected error."),
 
@@ -57,6 +59,8 @@
     CLAIM_BOUND_PASSED(5019, 503, "The time within which the claim may be dispatched passed."),
     CLAIM_VOIDED(5020, 503, "A call under the same key was refused at about the same time; it may be sent again."),
 
+    BILLING_CONFLICT(5101, 0, "Some requests have unlike billing records; they are listed."),
+
     INVALID_SETTINGS(6001, 0, "The settings file is wrong; every problem is listed."),
     INVALID_NOTE(6002, 0, "The release note is wrong; every problem is listed."),
     PUBLISH_CONFLICT(6003, 0, "Another configuration was accepted first; the differences are listed."),
--- a/router/src/test/kotlin/dev/almondhaven/router/TestDeployment.kt
+++ b/router/src/test/kotlin/dev/almondhaven/router/TestDeployment.kt
@@ -8,13 +8,17 @@
 import com.linecorp.armeria.common.RequestHeaders
 import com.linecorp.armeria.common.RequestHeadersBuilder
 import dev.almondhaven.catalogue.ConfigurationEntry
+import dev.almondhaven.catalogue.Endpoint
 import dev.almondhaven.catalogue.OrganisationBuilder
 import dev.almondhaven.catalogue.ReleaseNote
 import dev.almondhaven.catalogue.releaseNote
+import dev.almondhaven.model.EndpointId
 import dev.almondhaven.model.FailureDomainId
+import dev.almondhaven.model.ModelVersionId
 import dev.almondhaven.platform.ConfigurationStore
 import dev.almondhaven.platform.InMemoryObjectStore
 import dev.almondhaven.platform.Publisher
+import dev.almondhaven.router.settings.EndpointSettings
 import dev.almondhaven.router.settings.PlatformSettings
 import dev.almondhaven.router.settings.ProcessSettings
 import dev.almondhaven.router.settings.RouterSettings
@@ -29,6 +33,8 @@
 /** One router before one engine and one service, all in this process, talking real HTTP on loopback. */
 internal class TestDeployment(
     behaviour: EngineBehaviour = EngineBehaviour(),
+    moreEngines: Int = 0,
+    endpointSettings: EndpointSettings = EndpointSettings(),
 ) : AutoCloseable {
     val objects = InMemoryObjectStore()
     val engine = EngineStandIn(behaviour)
@@ -36,6 +42,8 @@
 
     /** `ip:port` of the engine. */
     val engineAddress: String get() = engineServer.hostAndPort
+    val moreEngines = List(moreEngines) { EngineStandIn(behaviour) }
+    private val moreEngineServers = this.moreEngines.map { more -> StandInServer.start { more.addTo(it) } }
     private val engineServer = StandInServer.start { engine.addTo(it) }
     private val serviceServer = StandInServer.start { service.addTo(it) }
     private val settings =
@@ -43,6 +51,7 @@
             ProcessSettings(FailureDomainId("west"), "127.0.0.1:0"),
             PlatformSettings("http://127.0.0.1:1"),
             sessions = SessionSettings(keys = listOf(SessionKeySetting("test", "x".repeat(32)))),
+            endpoints = endpointSettings,
         )
     val router = Router.start(settings, objects)
     val client: WebClient = WebClient.of("http://127.0.0.1:${router.port}")
@@ -78,6 +87,9 @@
             }
             service("orders") { call("GET", "/stock", idempotent = true) }
             engine("engine", "west", engineServer.hostAndPort, "slate@1")
+            moreEngineServers.forEachIndexed { number, server ->
+                engine("engine$number", "west", server.hostAndPort, "slate@1")
+            }
             serviceEndpoint("service", "west", serviceServer.hostAndPort, "orders")
         }
 
@@ -88,6 +100,18 @@
         allowService("orders")
     }
 
+    /** An endpoint of the only version. */
+    fun engine(
+        id: String,
+        address: String,
+    ): Endpoint =
+        Endpoint(
+            EndpointId(id),
+            FailureDomainId("west"),
+            address,
+            listOf(ModelVersionId.parse("slate@1")),
+        )
+
     fun send(
         body: String,
         path: String = "/v1/chat/completions",
@@ -108,6 +132,7 @@
     override fun close() {
         router.close()
         engineServer.close()
+        moreEngineServers.forEach { it.close() }
         serviceServer.close()
     }
 
--- a/router/src/test/kotlin/dev/almondhaven/router/session/PeerSessionDirectoryTest.kt
+++ b/router/src/test/kotlin/dev/almondhaven/router/session/PeerSessionDirectoryTest.kt
@@ -59,6 +59,12 @@
         issuedAt: Long = 0,
     ) = SessionPin(key, ModelVersionId.parse(version), issuedAt)
 
+    /** A router that came after the session began and remembers nothing. */
+    private fun lateRouter(): PeerSessionDirectory {
+        val view = FixedFleetView(members[0].copy(id = RouterId("late")), members)
+        return PeerSessionDirectory(LocalSessionDirectory(SessionSettings()), view, Wire(), timeout = 5.seconds)
+    }
+
     private fun versionsEverywhere() =
         directories.map {
             it
@@ -102,14 +108,7 @@
             members.drop(1).forEach { lost ->
                 down.clear()
                 down += lost
-                val fresh =
-                    PeerSessionDirectory(
-                        LocalSessionDirectory(SessionSettings()),
-                        FixedFleetView(members[0].copy(id = RouterId("late")), members),
-                        Wire(),
-                        timeout = 5.seconds,
-                    )
-                expectThat(fresh.lookUp(key).join()).isEqualTo(pin("slate@1"))
+                expectThat(lateRouter().lookUp(key).join()).isEqualTo(pin("slate@1"))
             }
         }
 
@@ -117,15 +116,8 @@
         fun `is unknown where no holder can be reached`() {
             directories[0].remember(pin("slate@1")).join()
             down += members
-            val isolated =
-                PeerSessionDirectory(
-                    LocalSessionDirectory(SessionSettings()),
-                    FixedFleetView(members[0].copy(id = RouterId("late")), members),
-                    Wire(),
-                    timeout = 5.seconds,
-                )
-
-            expectThat(isolated.lookUp(key).join()).isNull()
+
+            expectThat(lateRouter().lookUp(key).join()).isNull()
         }
     }
 }
