--- a/decision/src/test/kotlin/dev/almondhaven/decision/retry/FullJitterBackoffTest.kt
+++ b/decision/src/test/kotlin/dev/almondhaven/decision/retry/FullJitterBackoffTest.kt
@@ -22,7 +22,11 @@
         @Test
         fun `lies between zero and a bound that doubles up to the cap`() {
             runBlocking {
-                checkAll(PropTestConfig(seed = 4_091, iterations = 500), Arb.int(1..1_000), Arb.long()) { attempt, seed ->
+                checkAll(
+                    PropTestConfig(seed = 4_091, iterations = 500),
+                    Arb.int(1..1_000),
+                    Arb.long(),
+                ) { attempt, seed ->
                     val bound = if (attempt > 5) 250.milliseconds else 10.milliseconds * (1 shl (attempt - 1))
                     val delay = backoff.delay(attempt, RandomSource.XO_RO_SHI_RO_128_PP.create(seed))
                     expectThat(delay in Duration.ZERO..bound).isTrue()
