--- a/decision/src/main/kotlin/dev/almondhaven/decision/retry/RetryPolicy.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/retry/RetryPolicy.kt
@@ -5,7 +5,6 @@
 import org.apache.commons.rng.UniformRandomProvider
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.nanoseconds
 
 /**
  * A failed attempt and what is left for the request.
@@ -40,12 +39,10 @@
 public class RetryPolicy(
     private val budget: RetryBudget,
     private val maximumAttempts: Int = DEFAULT_MAXIMUM_ATTEMPTS,
-    private val firstBackoff: Duration = DEFAULT_FIRST_BACKOFF,
-    private val longestBackoff: Duration = DEFAULT_LONGEST_BACKOFF,
+    private val backoff: FullJitterBackoff = DEFAULT_BACKOFF,
 ) {
     init {
         require(maximumAttempts >= 1) { "maximumAttempts must be 1 or more, got $maximumAttempts" }
-        require(firstBackoff.isPositive()) { "firstBackoff must be positive, got $firstBackoff" }
     }
 
     /** The decision after [failed]; a retry is charged to the budget at once. */
@@ -55,24 +52,14 @@
     ): RetryDecision {
         if (failed.code !in RETRYABLE || failed.attempts >= maximumAttempts) return RetryDecision.GiveUp
         if (!failed.idempotent && failed.outcome != Outcome.NOT_RUN) return RetryDecision.GiveUp
-        val delay = backoff(failed.attempts, random)
+        val delay = backoff.delay(failed.attempts, random)
         if (delay >= failed.remaining || !budget.tryRetry()) return RetryDecision.GiveUp
         return RetryDecision.Retry(delay)
     }
 
-    private fun backoff(
-        attempts: Int,
-        random: UniformRandomProvider,
-    ): Duration {
-        val ceiling = minOf(firstBackoff * (1 shl minOf(attempts - 1, MAXIMUM_DOUBLINGS)), longestBackoff)
-        return random.nextLong(ceiling.inWholeNanoseconds + 1).nanoseconds
-    }
-
     public companion object {
         public const val DEFAULT_MAXIMUM_ATTEMPTS: Int = 3
-        private const val MAXIMUM_DOUBLINGS = 16
-        private val DEFAULT_FIRST_BACKOFF = 10.milliseconds
-        private val DEFAULT_LONGEST_BACKOFF = 250.milliseconds
+        private val DEFAULT_BACKOFF = FullJitterBackoff(base = 10.milliseconds, cap = 250.milliseconds)
 
         /** Failures that another endpoint may not have. */
         private val RETRYABLE =
--- a/operator/src/main/kotlin/dev/almondhaven/operator/PlatformOptions.kt
+++ b/operator/src/main/kotlin/dev/almondhaven/operator/PlatformOptions.kt
@@ -13,6 +13,7 @@
 import dev.almondhaven.platform.HttpObjectStore
 import dev.almondhaven.platform.ObjectStore
 import dev.almondhaven.platform.RetryPause
+import org.apache.commons.rng.UniformRandomProvider
 import org.apache.commons.rng.simple.RandomSource
 import java.net.URI
 import java.util.concurrent.TimeUnit
@@ -45,7 +46,7 @@
 
     private fun pause(attempt: Int): Boolean {
         if (attempt >= attempts) return false
-        TimeUnit.NANOSECONDS.sleep(backoff.delay(attempt).inWholeNanoseconds)
+        TimeUnit.NANOSECONDS.sleep(backoff.delay(attempt, random).inWholeNanoseconds)
         return true
     }
 
@@ -53,7 +54,7 @@
         const val DEFAULT_PLATFORM = "http://127.0.0.1:9000"
         const val DEFAULT_ATTEMPTS = 8
         const val MAXIMUM_ATTEMPTS = 100
-        val backoff =
-            FullJitterBackoff(base = 200.milliseconds, cap = 5.seconds, RandomSource.XO_RO_SHI_RO_128_PP.create())
+        val backoff = FullJitterBackoff(base = 200.milliseconds, cap = 5.seconds)
+        val random: UniformRandomProvider = RandomSource.XO_RO_SHI_RO_128_PP.create()
     }
 }
