Find engines that never answer a whole request

Change: a whole answer's endpoint counts as silent after the first-byte deadline plus 100 ms a token asked for; the retry goes elsewhere. Figures: new test in ServingPathTest; red before (request deadline), green after.

--- a/router/src/main/kotlin/dev/almondhaven/router/endpoint/Dispatcher.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/endpoint/Dispatcher.kt
@@ -36,11 +36,14 @@
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.intOrNull
 import java.net.ConnectException
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.CompletionException
+import java.util.concurrent.Future
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.nanoseconds
 
@@ -150,10 +153,30 @@
     private fun readWhole(
         exchange: Exchange,
         response: HttpResponse,
-    ): CompletableFuture<Answer> =
-        response.aggregate().handle { aggregated, cause ->
+    ): CompletableFuture<Answer> {
+        val silence = (exchange.call as? Call.Model)?.let { abortLater(exchange, response, wholeAnswerDeadline(it)) }
+        return response.aggregate().handle { aggregated, cause ->
+            silence?.cancel(false)
             if (cause != null) failure(exchange, cause) else wholeAnswer(exchange, aggregated)
         }
+    }
+
+    /** An engine sends nothing of a whole answer until it has generated all of it. */
+    private fun wholeAnswerDeadline(call: Call.Model): Duration {
+        val tokens = (call.body["max_tokens"] as? JsonPrimitive)?.intOrNull ?: DEFAULT_ANSWER_TOKENS
+        return firstByteDeadline + WHOLE_ANSWER_TOKEN_ALLOWANCE * maxOf(tokens, 1)
+    }
+
+    private fun abortLater(
+        exchange: Exchange,
+        response: HttpResponse,
+        deadline: Duration,
+    ): Future<*> =
+        exchange.eventLoop.schedule(
+            { response.abort(EndpointSilentException()) },
+            deadline.inWholeNanoseconds,
+            TimeUnit.NANOSECONDS,
+        )
 
     private fun wholeAnswer(
         exchange: Exchange,
@@ -180,12 +203,7 @@
         response: HttpResponse,
     ): CompletableFuture<Answer> {
         val split = response.split()
-        val silence =
-            exchange.eventLoop.schedule(
-                { response.abort(EndpointSilentException()) },
-                firstByteDeadline.inWholeNanoseconds,
-                TimeUnit.NANOSECONDS,
-            )
+        val silence = abortLater(exchange, response, firstByteDeadline)
         split.headers().whenComplete { _, _ -> silence.cancel(false) }
         return split.headers().handle { headers, cause ->
             if (cause != null) failure(exchange, cause) else streamAnswer(exchange, headers, split)
@@ -280,6 +298,9 @@
         }
 
     private companion object {
+        /** Tokens of a whole answer whose request sets no limit, for judging its endpoint silent. */
+        const val DEFAULT_ANSWER_TOKENS = 1_000
+        val WHOLE_ANSWER_TOKEN_ALLOWANCE = 100.milliseconds
         val DEFAULT_RUN_LIMIT = 5.minutes
         const val REQUEST_ID = "x-request-id"
         const val ORGANISATION = "x-organisation"
--- a/router/src/test/kotlin/dev/almondhaven/router/ServingPathTest.kt
+++ b/router/src/test/kotlin/dev/almondhaven/router/ServingPathTest.kt
@@ -89,6 +89,13 @@
             expectThat(List(6) { deployment.send(whole).status().code() }.toSet()).containsExactly(200)
         }
 
+        @Test
+        fun `comes from another endpoint when the first takes the request and never answers`() {
+            spoil(EngineFault.SILENT)
+
+            expectThat(deployment.send(whole).status().code()).isEqualTo(200)
+        }
+
         @Test
         fun `that every endpoint fails is an error with an honest outcome`() {
             engines.forEach { it.behaviour = EngineBehaviour(fault = EngineFault.ERROR) }
