--- a/experiments/src/main/kotlin/dev/almondhaven/experiments/Experiments.kt
+++ b/experiments/src/main/kotlin/dev/almondhaven/experiments/Experiments.kt
@@ -1,6 +1,8 @@
 package dev.almondhaven.experiments
 
+import dev.almondhaven.experiments.capacity.RouterCostExperiment
 import dev.almondhaven.experiments.choice.ModelChoiceExperiment
+import dev.almondhaven.experiments.deployment.DeploymentsExperiment
 import dev.almondhaven.experiments.distribution.DistributionExperiment
 import dev.almondhaven.experiments.distribution.MembershipExperiment
 import dev.almondhaven.experiments.overhead.OverheadExperiment
@@ -13,6 +15,8 @@
             OverheadExperiment(),
             MembershipExperiment(),
             DistributionExperiment(),
+            DeploymentsExperiment(),
+            RouterCostExperiment(),
             ModelChoiceExperiment(),
         )
 }
