--- a/experiments/src/main/kotlin/dev/almondhaven/experiments/Experiments.kt
+++ b/experiments/src/main/kotlin/dev/almondhaven/experiments/Experiments.kt
@@ -1,6 +1,7 @@
 package dev.almondhaven.experiments
 
 import dev.almondhaven.experiments.overhead.OverheadExperiment
+import dev.almondhaven.experiments.serving.ServingExperiment
 
 /** Every experiment that `bin/measure` knows. */
 public object Experiments {
@@ -8,5 +9,6 @@
     public val ALL: List<Experiment> =
         listOf(
             OverheadExperiment(),
+            ServingExperiment(),
         )
 }
--- /dev/null
+++ b/experiments/src/main/kotlin/dev/almondhaven/experiments/serving/ServingExperiment.kt
@@ -0,0 +1,106 @@
+package dev.almondhaven.experiments.serving
+
+import dev.almondhaven.experiments.Experiment
+import dev.almondhaven.experiments.ExperimentReport
+import dev.almondhaven.experiments.ExperimentReport.Companion.number
+import kotlin.time.Duration.Companion.seconds
+
+/** Endpoint choice, cold endpoints and failure domains that leave, against the baselines. */
+public class ServingExperiment : Experiment {
+    override val name: String get() = "endpoint-choice"
+
+    override val about: String get() = "Endpoint choice, cold endpoints and a domain that leaves, on virtual time."
+
+    private class Size(
+        val routers: Int,
+        val endpoints: Int,
+        val domains: Int,
+    ) {
+        override fun toString(): String = "$routers/$endpoints/$domains"
+    }
+
+    private val sizes = listOf(Size(5, 8, 4), Size(62, 130, 1), Size(370, 780, 6))
+
+    override fun run(report: ExperimentReport) {
+        report.text(
+            "The router's own decisions on virtual time: engines with 16 slots, one in ten half as fast, reports " +
+                "every 500 ms and 150 ms late, a prefix cache of 64 entries for 48 sessions per engine. Seed 1.",
+        )
+        choice(report)
+        cold(report)
+        domain(report)
+    }
+
+    private fun choice(report: ExperimentReport) {
+        val rows =
+            sizes.flatMap { size ->
+                PolicyKind.entries.filter { it != PolicyKind.WITHOUT_RAMP }.map { policy -> choiceRow(size, policy) }
+            }
+        report.table(
+            "Time to first token at 80% load",
+            listOf("routers/endpoints/domains", "policy", "p50 ms", "p99 ms", "finished of arrived", "cache hits"),
+            rows,
+        )
+    }
+
+    private fun choiceRow(
+        size: Size,
+        policy: PolicyKind,
+    ): List<String> {
+        val run = ServingRun(ServingPlan(policy, size.routers, size.endpoints, size.domains, load = 0.8)).run()
+        return listOf(
+            "$size",
+            policy.label,
+            "${run.milliseconds(50.0)}",
+            "${run.milliseconds(99.0)}",
+            number(run.finished.toDouble() / run.arrived, 3),
+            number(run.hitShare, 3),
+        )
+    }
+
+    private fun cold(report: ExperimentReport) {
+        val policies = listOf(PolicyKind.LEAST_REPORTED, PolicyKind.WITHOUT_RAMP, PolicyKind.ALMONDHAVEN)
+        val rows = sizes.flatMap { size -> policies.map { coldRow(size, it) } }
+        report.table(
+            "An engine restarts unannounced at 50% load",
+            listOf("routers/endpoints/domains", "policy", "worst excess over what it bears", "p99 ms"),
+            rows,
+        )
+    }
+
+    private fun coldRow(
+        size: Size,
+        policy: PolicyKind,
+    ): List<String> {
+        val plan = ServingPlan(policy, size.routers, size.endpoints, size.domains, load = 0.5)
+        val run = ServingRun(plan).at(15.seconds) { restart(0) }.run()
+        return listOf("$size", policy.label, "${run.worstExcess}", "${run.milliseconds(99.0)}")
+    }
+
+    private fun domain(report: ExperimentReport) {
+        val rows = listOf(false, true).map { leaves -> domainRow(leaves) }
+        report.table(
+            "One of four domains leaves at 15 s and returns at 30 s, 5 routers, 8 endpoints, 50% load",
+            listOf("run", "p50 ms", "p99 ms", "unfinished after the end", "arrived"),
+            rows,
+        )
+    }
+
+    private fun domainRow(leaves: Boolean): List<String> {
+        val plan = ServingPlan(PolicyKind.ALMONDHAVEN, routers = 5, endpoints = 8, domains = 4, load = 0.5, 60.seconds)
+        val run = ServingRun(plan)
+        if (leaves) {
+            run.at(15.seconds) { setInService(0, false) }
+            run.at(30.seconds) { setInService(0, true) }
+        }
+        run.run()
+        val label = if (leaves) "leaves and returns" else "steady"
+        return listOf(
+            label,
+            "${run.milliseconds(50.0)}",
+            "${run.milliseconds(99.0)}",
+            "${run.arrived - run.finished}",
+            "${run.arrived}",
+        )
+    }
+}
--- /dev/null
+++ b/experiments/src/main/kotlin/dev/almondhaven/experiments/serving/SimulatedEngine.kt
@@ -0,0 +1,107 @@
+package dev.almondhaven.experiments.serving
+
+import dev.almondhaven.catalogue.Endpoint
+import dev.almondhaven.decision.endpoint.ColdRamp
+import dev.almondhaven.decision.endpoint.LoadReport
+import org.apache.commons.rng.UniformRandomProvider
+import kotlin.math.ln
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.nanoseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * An engine as a queue with [Endpoint.slots] servers and a least-recently-used prefix cache. While it is cold, more
+ * requests than it can bear slow all of them down.
+ */
+internal class SimulatedEngine(
+    val endpoint: Endpoint,
+    private val loop: VirtualTimeLoop,
+    private val random: UniformRandomProvider,
+    private val slowdown: Double,
+) {
+    private class Job(
+        val key: Long,
+        val onFirstToken: () -> Unit,
+        val onEnd: () -> Unit,
+    )
+
+    private val waiting = ArrayDeque<Job>()
+    private val cache =
+        object : LinkedHashMap<Long, Unit>(CACHE_ENTRIES, LOAD_FACTOR, true) {
+            override fun removeEldestEntry(eldest: Map.Entry<Long, Unit>): Boolean = size > CACHE_ENTRIES
+        }
+    private var running = 0
+    private var starts = 0
+    private var startedAt = (-WARM_SINCE).inWholeNanoseconds
+
+    /** Requests found in the cache and not. */
+    var hits = 0
+        private set
+    var misses = 0
+        private set
+
+    /** Most requests beyond what the engine could bear at that moment. */
+    var worstExcess = 0
+        private set
+
+    private val inFlight: Int get() = running + waiting.size
+
+    fun restart() {
+        starts++
+        startedAt = loop.now
+        cache.clear()
+    }
+
+    fun report(): LoadReport =
+        LoadReport("$starts", running, waiting.size, endpoint.slots, (loop.now - startedAt).nanoseconds)
+
+    fun accept(
+        key: Long,
+        onFirstToken: () -> Unit,
+        onEnd: () -> Unit,
+    ) {
+        waiting += Job(key, onFirstToken, onEnd)
+        bearable()?.let { worstExcess = maxOf(worstExcess, inFlight - it) }
+        serve()
+    }
+
+    private fun bearable(): Int? = BEARABLE.fleetLimit(endpoint.slots, (loop.now - startedAt).nanoseconds)
+
+    private fun serve() {
+        while (running < endpoint.slots && waiting.isNotEmpty()) start(waiting.removeFirst())
+    }
+
+    private fun start(job: Job) {
+        running++
+        val cached = cache.put(job.key, Unit) != null
+        if (cached) hits++ else misses++
+        val overloaded = bearable()?.let { inFlight > it } ?: false
+        val factor = slowdown * (if (overloaded) OVERLOADED_WHILE_COLD else 1.0)
+        val prefill = (if (cached) CACHED_PREFILL else PREFILL) * factor
+        loop.after(prefill) {
+            job.onFirstToken()
+            loop.after(MEAN_GENERATION * (-ln(1 - random.nextDouble())) * factor) { end(job) }
+        }
+    }
+
+    private fun end(job: Job) {
+        running--
+        job.onEnd()
+        serve()
+    }
+
+    companion object {
+        private const val CACHE_ENTRIES = 64
+        private const val LOAD_FACTOR = 0.75f
+        private const val OVERLOADED_WHILE_COLD = 6.0
+        private val WARM_SINCE: Duration = 3_600.seconds
+        private val BEARABLE = ColdRamp()
+        val PREFILL = 120.milliseconds
+        val CACHED_PREFILL = 20.milliseconds
+        val MEAN_GENERATION = 900.milliseconds
+
+        /** Requests a second that one slot carries without cache hits. */
+        const val REQUESTS_PER_SLOT_SECOND = 1 / 1.02
+    }
+}
