--- a/decision/src/main/kotlin/dev/almondhaven/decision/endpoint/EndpointChooser.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/endpoint/EndpointChooser.kt
@@ -34,8 +34,8 @@
  * failure domain only when the own endpoints queue.
  *
  * @property samples endpoints compared for each request.
- * @property affinityBonus load, in requests per slot, that a warm cache makes up for.
- * @property borderPenalty load that crossing the border costs.
+ * @property affinityBonus queue, in requests per slot, that a warm cache makes up for.
+ * @property borderPenalty queue that crossing the border is worth.
  */
 public class EndpointChooser(
     private val samples: Int = DEFAULT_SAMPLES,
@@ -65,16 +65,23 @@
         random: UniformRandomProvider,
     ): EndpointState? {
         val local = leastLoaded(pool.local, pool, request, now, random)
-        val localLoad = local?.load(now, pool.usualOthers) ?: Double.MAX_VALUE
+        val localQueue = local?.let { queue(it, pool, now) } ?: Double.MAX_VALUE
         val preferred = request.affinityKey?.let { pool.preferred(it) }
         if (preferred != null && usable(preferred, request, now)) {
-            if (preferred.load(now, pool.usualOthers) <= localLoad + affinityBonus) return preferred
+            if (queue(preferred, pool, now) <= localQueue + affinityBonus) return preferred
         }
-        if (localLoad < FULL) return local
+        if (localQueue == 0.0) return local
         val remote = leastLoaded(pool.remote, pool, request, now, random) ?: return local
-        return if (remote.load(now, pool.usualOthers) + borderPenalty < localLoad) remote else local
+        return if (queue(remote, pool, now) + borderPenalty < localQueue) remote else local
     }
 
+    /** Load beyond what likely finds a free slot; below that every endpoint starts a request at once. */
+    private fun queue(
+        state: EndpointState,
+        pool: EndpointPool,
+        now: Long,
+    ): Double = maxOf(0.0, state.load(now, pool.usualOthers) - QUEUEING_FROM)
+
     private fun leastLoaded(
         candidates: List<EndpointState>,
         pool: EndpointPool,
@@ -126,11 +133,11 @@
 
     public companion object {
         public const val DEFAULT_SAMPLES: Int = 3
-        public const val DEFAULT_AFFINITY_BONUS: Double = 0.5
-        public const val DEFAULT_BORDER_PENALTY: Double = 0.25
+        public const val DEFAULT_AFFINITY_BONUS: Double = 0.1
+        public const val DEFAULT_BORDER_PENALTY: Double = 0.02
         private const val LONGEST_SEARCH = 32
 
-        /** Load at which every slot is taken. */
-        private const val FULL = 1.0
+        /** Load from which some slots are likely all taken: loads are estimates, and requests come in bursts. */
+        private const val QUEUEING_FROM = 0.85
     }
 }
--- a/decision/src/main/kotlin/dev/almondhaven/decision/endpoint/EndpointPool.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/endpoint/EndpointPool.kt
@@ -10,9 +10,8 @@
 public class EndpointPool(
     public val local: List<EndpointState>,
     public val remote: List<EndpointState>,
-    affinityCandidates: List<EndpointState> = local,
 ) {
-    private val affinity = AffinityTable(affinityCandidates.ifEmpty { remote })
+    private val affinity = AffinityTable(local.ifEmpty { remote })
 
     /** Average requests of other routers at an endpoint, by the reports; refreshed by the duty that polls them. */
     @Volatile
--- a/experiments/src/main/kotlin/dev/almondhaven/experiments/serving/ChoicePolicy.kt
+++ b/experiments/src/main/kotlin/dev/almondhaven/experiments/serving/ChoicePolicy.kt
@@ -40,6 +40,12 @@
         takenAt: Long,
     )
 
+    /** Notes that the connections to [endpoint] closed. */
+    fun connectionLost(
+        endpoint: EndpointId,
+        now: Long,
+    )
+
     fun tick(now: Long)
 
     /** Sets which endpoints are in service. */
@@ -59,14 +65,11 @@
     private val routersOf = sharers.associate { it.endpoint.id to it.routers }
     private val limiters = HashMap<EndpointId, EndpointLimiter>()
     private var pool = EndpointPool.EMPTY
-    private var started = false
-
     override var watched: List<EndpointId> = emptyList()
         private set
 
     init {
         inService(sharers.map { it.endpoint })
-        started = true
     }
 
     override fun choose(
@@ -97,6 +100,15 @@
         limiter.update(takenAt, routersOf.getValue(endpoint))
     }
 
+    override fun connectionLost(
+        endpoint: EndpointId,
+        now: Long,
+    ) {
+        val limiter = limiters[endpoint] ?: return
+        limiter.recordConnectionLost(now)
+        limiter.update(now, routersOf.getValue(endpoint))
+    }
+
     override fun tick(now: Long) {
         watched.forEach { limiters.getValue(it).update(now, routersOf.getValue(it)) }
         pool.refresh()
@@ -106,8 +118,8 @@
         val (own, others) = endpoints.partition { it.failureDomain == self.failureDomain }
         pool =
             EndpointPool(
-                subset.of(self.id, own).map { stateOf(it) },
-                subset.of(self.id, others).map { stateOf(it) },
+                subset.local(self.id, own).map { stateOf(it) },
+                subset.remote(self.id, others).map { stateOf(it) },
             )
         watched = (pool.local + pool.remote).map { it.endpoint.id }
     }
@@ -154,6 +166,11 @@
         reported[endpoint] = report.running + report.waiting
     }
 
+    override fun connectionLost(
+        endpoint: EndpointId,
+        now: Long,
+    ): Unit = Unit
+
     override fun tick(now: Long): Unit = Unit
 
     override fun inService(endpoints: List<Endpoint>) {
--- a/experiments/src/main/kotlin/dev/almondhaven/experiments/serving/ServingExperiment.kt
+++ b/experiments/src/main/kotlin/dev/almondhaven/experiments/serving/ServingExperiment.kt
@@ -60,10 +60,13 @@
 
     private fun cold(report: ExperimentReport) {
         val policies = listOf(PolicyKind.LEAST_REPORTED, PolicyKind.WITHOUT_RAMP, PolicyKind.ALMONDHAVEN)
-        val rows = sizes.flatMap { size -> policies.map { coldRow(size, it) } }
+        val rows =
+            sizes.flatMap { size ->
+                policies.flatMap { policy -> listOf(true, false).map { coldRow(size, policy, restarts = it) } }
+            }
         report.table(
-            "An engine restarts unannounced at 50% load",
-            listOf("routers/endpoints/domains", "policy", "worst excess over what it bears", "p99 ms"),
+            "An engine turns cold unannounced at 50% load",
+            listOf("routers/endpoints/domains", "policy", "connections", "worst excess over what it bears", "p99 ms"),
             rows,
         )
     }
@@ -71,17 +74,19 @@
     private fun coldRow(
         size: Size,
         policy: PolicyKind,
+        restarts: Boolean,
     ): List<String> {
         val plan = ServingPlan(policy, size.routers, size.endpoints, size.domains, load = 0.5)
-        val run = ServingRun(plan).at(15.seconds) { restart(0) }.run()
-        return listOf("$size", policy.label, "${run.worstExcess}", "${run.milliseconds(99.0)}")
+        val run = ServingRun(plan).at(15.seconds) { if (restarts) restart(0) else turnCold(0) }.run()
+        val connections = if (restarts) "close" else "stay"
+        return listOf("$size", policy.label, connections, "${run.worstExcess}", "${run.milliseconds(99.0)}")
     }
 
     private fun domain(report: ExperimentReport) {
         val rows = listOf(false, true).map { leaves -> domainRow(leaves) }
         report.table(
             "One of four domains leaves at 15 s and returns at 30 s, 5 routers, 8 endpoints, 50% load",
-            listOf("run", "p50 ms", "p99 ms", "unfinished after the end", "arrived"),
+            listOf("run", "p50 ms", "p99 ms", "not finished", "arrived"),
             rows,
         )
     }
--- a/experiments/src/main/kotlin/dev/almondhaven/experiments/serving/ServingRun.kt
+++ b/experiments/src/main/kotlin/dev/almondhaven/experiments/serving/ServingRun.kt
@@ -63,6 +63,7 @@
     private val sharers = RouterSubset().sharers(endpoints, members)
     private val policies = members.map(::policyOf)
     private val queues = policies.map { ArrayDeque<Request>() }
+    private var reportRound = 0
     private val domainOf = endpoints.associate { it.id to it.failureDomain }
     private val rate =
         plan.load * plan.endpoints * Endpoint.DEFAULT_SLOTS * SimulatedEngine.REQUESTS_PER_SLOT_SECOND
@@ -80,6 +81,8 @@
         private set
     var finished = 0
         private set
+    var retried = 0
+        private set
 
     val hitShare: Double get() =
         engines.values.sumOf { it.hits }.toDouble() /
@@ -92,7 +95,15 @@
         action: ServingRun.() -> Unit,
     ): ServingRun = apply { loop.after(time) { action() } }
 
-    fun restart(engine: Int): Unit = engines.getValue(endpoints[engine].id).restart()
+    /** Engine [engine] turns cold without closing a connection. */
+    fun turnCold(engine: Int): Unit = engines.getValue(endpoints[engine].id).turnCold()
+
+    /** Engine [engine] restarts; every router sees its connections close. */
+    fun restart(engine: Int) {
+        val id = endpoints[engine].id
+        engines.getValue(id).restart()
+        policies.forEach { policy -> loop.after(BORDER_DELAY) { policy.connectionLost(id, loop.now) } }
+    }
 
     /** Takes [domain] out of service on every router, or brings it back. */
     fun setInService(
@@ -108,6 +119,7 @@
         loop.every(TICK) { policies.indices.forEach(::tick) }
         loop.after(WARM_UP) { arrive() }
         loop.runUntil(WARM_UP + plan.duration)
+        loop.runUntil(WARM_UP + plan.duration + DRAIN)
         return this
     }
 
@@ -144,9 +156,21 @@
     private fun sendReports() {
         val takenAt = loop.now
         val reports = engines.mapValues { it.value.report() }
-        policies.forEach { policy ->
-            loop.after(REPORT_LAG) { policy.watched.forEach { policy.report(it, reports.getValue(it), takenAt) } }
+        policies.forEachIndexed { router, policy ->
+            val polled = rotated(policy.watched, router)
+            loop.after(REPORT_LAG) { polled.forEach { policy.report(it, reports.getValue(it), takenAt) } }
         }
+        reportRound++
+    }
+
+    /** The endpoints that [router] polls in this round; a router asks at most [POLLED_AT_ONCE] of them. */
+    private fun rotated(
+        watched: List<EndpointId>,
+        router: Int,
+    ): List<EndpointId> {
+        if (watched.size <= POLLED_AT_ONCE) return watched
+        val first = (router + reportRound) * POLLED_AT_ONCE
+        return List(POLLED_AT_ONCE) { watched[(first + it) % watched.size] }
     }
 
     private fun tick(router: Int) {
@@ -155,6 +179,7 @@
     }
 
     private fun arrive() {
+        if (loop.now > (WARM_UP + plan.duration).inWholeNanoseconds) return
         val router = random.nextInt(plan.routers)
         val key = random.nextInt(plan.endpoints * SESSIONS_PER_ENDPOINT).toLong() * KEY_SPREAD
         arrived++
@@ -192,17 +217,31 @@
                     policies[request.router].ended(endpoint, (firstTokenAt - sentAt).nanoseconds, loop.now)
                     serve(request.router)
                 },
+                onLost = { lost(request, endpoint) },
             )
         }
     }
 
+    /** A request whose endpoint restarted under it is sent again, as the retry filter does. */
+    private fun lost(
+        request: Request,
+        endpoint: EndpointId,
+    ) {
+        retried++
+        policies[request.router].ended(endpoint, SimulatedEngine.PREFILL, loop.now)
+        queues[request.router].addFirst(request)
+        loop.after(BORDER_DELAY * 2) { serve(request.router) }
+    }
+
     private companion object {
         const val SLOW_ENGINE = 2.0
+        const val POLLED_AT_ONCE = 24
         const val SESSIONS_PER_ENDPOINT = 48
         const val KEY_SPREAD = 7_919L
         const val HISTOGRAM_DIGITS = 3
         const val NANOS_PER_MILLI = 1_000_000L
         val WARM_UP = 2.seconds
+        val DRAIN = 20.seconds
         val REPORT_INTERVAL = 500.milliseconds
         val REPORT_LAG = 150.milliseconds
         val TICK = 100.milliseconds
--- a/experiments/src/main/kotlin/dev/almondhaven/experiments/serving/SimulatedEngine.kt
+++ b/experiments/src/main/kotlin/dev/almondhaven/experiments/serving/SimulatedEngine.kt
@@ -24,9 +24,11 @@
         val key: Long,
         val onFirstToken: () -> Unit,
         val onEnd: () -> Unit,
+        val onLost: () -> Unit,
     )
 
     private val waiting = ArrayDeque<Job>()
+    private val started = LinkedHashSet<Job>()
     private val cache =
         object : LinkedHashMap<Long, Unit>(CACHE_ENTRIES, LOAD_FACTOR, true) {
             override fun removeEldestEntry(eldest: Map.Entry<Long, Unit>): Boolean = size > CACHE_ENTRIES
@@ -47,12 +49,23 @@
 
     private val inFlight: Int get() = running + waiting.size
 
-    fun restart() {
+    /** Turns cold with its requests and connections in place. */
+    fun turnCold() {
         starts++
         startedAt = loop.now
         cache.clear()
     }
 
+    /** Turns cold and loses what it was doing. */
+    fun restart() {
+        val lost = started.toList() + waiting
+        started.clear()
+        waiting.clear()
+        running = 0
+        turnCold()
+        lost.forEach { it.onLost() }
+    }
+
     fun report(): LoadReport =
         LoadReport("$starts", running, waiting.size, endpoint.slots, (loop.now - startedAt).nanoseconds)
 
@@ -60,8 +73,9 @@
         key: Long,
         onFirstToken: () -> Unit,
         onEnd: () -> Unit,
+        onLost: () -> Unit,
     ) {
-        waiting += Job(key, onFirstToken, onEnd)
+        waiting += Job(key, onFirstToken, onEnd, onLost)
         bearable()?.let { worstExcess = maxOf(worstExcess, inFlight - it) }
         serve()
     }
@@ -74,18 +88,20 @@
 
     private fun start(job: Job) {
         running++
+        started += job
         val cached = cache.put(job.key, Unit) != null
         if (cached) hits++ else misses++
         val overloaded = bearable()?.let { inFlight > it } ?: false
         val factor = slowdown * (if (overloaded) OVERLOADED_WHILE_COLD else 1.0)
         val prefill = (if (cached) CACHED_PREFILL else PREFILL) * factor
         loop.after(prefill) {
-            job.onFirstToken()
+            if (job in started) job.onFirstToken()
             loop.after(MEAN_GENERATION * (-ln(1 - random.nextDouble())) * factor) { end(job) }
         }
     }
 
     private fun end(job: Job) {
+        if (!started.remove(job)) return
         running--
         job.onEnd()
         serve()
--- a/router/src/main/kotlin/dev/almondhaven/router/Router.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/Router.kt
@@ -83,6 +83,10 @@
                 .toDouble()
         }
         peers.topics.register(limiter.gossip)
+        clients.whenConnectionCloses { address ->
+            directory.recordConnectionLost(address)
+            loadReports.pollSoon(address)
+        }
         watcher.start()
         server.start().join()
         LogEvent.ROUTER_STARTED.log(logger) { "port=$port domain=${settings.process.failureDomain}" }
--- a/router/src/main/kotlin/dev/almondhaven/router/endpoint/EndpointClients.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/endpoint/EndpointClients.kt
@@ -1,10 +1,14 @@
 package dev.almondhaven.router.endpoint
 
 import com.linecorp.armeria.client.ClientFactory
+import com.linecorp.armeria.client.ConnectionPoolListenerAdapter
 import com.linecorp.armeria.client.WebClient
+import com.linecorp.armeria.common.SessionProtocol
 import com.linecorp.armeria.common.util.EventLoopGroups
 import dev.almondhaven.catalogue.Endpoint
 import io.netty.channel.EventLoopGroup
+import io.netty.util.AttributeMap
+import java.net.InetSocketAddress
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.Duration
 
@@ -14,18 +18,26 @@
     connectTimeout: Duration,
     pingInterval: Duration,
 ) : AutoCloseable {
+    private val closings = Closings()
     private val factory =
         ClientFactory
             .builder()
             .workerGroup(workers, false)
             .connectTimeoutMillis(connectTimeout.inWholeMilliseconds)
             .pingIntervalMillis(pingInterval.inWholeMilliseconds)
+            .idleTimeoutMillis(0)
+            .connectionPoolListener(closings)
             .build()
     private val clients = ConcurrentHashMap<String, WebClient>()
 
     /** The client of [endpoint]. */
     public fun of(endpoint: Endpoint): WebClient = clients.computeIfAbsent(endpoint.address, ::build)
 
+    /** Calls [action] with `ip:port` whenever a connection to there has closed; replaces what was set before. */
+    public fun whenConnectionCloses(action: (String) -> Unit) {
+        closings.action = action
+    }
+
     private fun build(address: String): WebClient =
         WebClient
             .builder("http://$address")
@@ -37,6 +49,18 @@
         factory.closeAsync()
     }
 
+    private class Closings : ConnectionPoolListenerAdapter() {
+        @Volatile
+        var action: (String) -> Unit = {}
+
+        override fun connectionClosed(
+            protocol: SessionProtocol,
+            remoteAddress: InetSocketAddress,
+            localAddress: InetSocketAddress,
+            attributes: AttributeMap,
+        ): Unit = action("${remoteAddress.address.hostAddress}:${remoteAddress.port}")
+    }
+
     public companion object {
         private const val MAXIMUM_ANSWER_BYTES = 64_000_000L
 
--- a/router/src/main/kotlin/dev/almondhaven/router/endpoint/EndpointDirectory.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/endpoint/EndpointDirectory.kt
@@ -65,6 +65,10 @@
             val id: EndpointId,
         ) : Message
 
+        data class ConnectionLost(
+            val address: String,
+        ) : Message
+
         data class Ended(
             val id: EndpointId,
             val result: AttemptResult,
@@ -126,6 +130,11 @@
         duty.offer(Message.Reportless(id))
     }
 
+    /** Notes that a connection to [address] closed. */
+    public fun recordConnectionLost(address: String) {
+        duty.offer(Message.ConnectionLost(address))
+    }
+
     /** Notes the end of an attempt at [id]. */
     public fun recordAttempt(
         id: EndpointId,
@@ -141,6 +150,7 @@
         when (message) {
             is Message.Reported -> accept(message)
             is Message.Reportless -> reportless(message.id)
+            is Message.ConnectionLost -> connectionLost(message.address)
             is Message.Ended -> ended(message)
             is Message.Refresh -> refresh(message)
         }
@@ -163,6 +173,14 @@
         endpoint.limiter.update(clock.nanos(), endpoint.sharers)
     }
 
+    private fun connectionLost(address: String) {
+        val now = clock.nanos()
+        known.values.filter { it.state.endpoint.address == address }.forEach { endpoint ->
+            endpoint.limiter.recordConnectionLost(now)
+            endpoint.limiter.update(now, endpoint.sharers)
+        }
+    }
+
     private fun ended(message: Message.Ended) {
         val endpoint = known[message.id] ?: return
         val now = clock.nanos()
@@ -273,9 +291,8 @@
     private fun poolOf(endpoints: List<Endpoint>): EndpointPool {
         val (own, others) = endpoints.partition { it.failureDomain == fleet.self.failureDomain }
         return EndpointPool(
-            local = statesOf(subset.of(fleet.self.id, own)),
-            remote = statesOf(subset.of(fleet.self.id, others)),
-            affinityCandidates = statesOf(own),
+            local = statesOf(subset.local(fleet.self.id, own)),
+            remote = statesOf(subset.remote(fleet.self.id, others)),
         )
     }
 
--- a/router/src/main/kotlin/dev/almondhaven/router/endpoint/LoadReportPoller.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/endpoint/LoadReportPoller.kt
@@ -13,7 +13,10 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
-/** Polls `GET /engine/status` of the endpoints that this router uses, on a duty thread of its own. */
+/**
+ * Polls `GET /engine/status` of the endpoints that this router uses, on a duty thread of its own. A full
+ * ring loses a wish to poll early; the endpoint is then polled in its turn.
+ */
 public class LoadReportPoller(
     private val directory: EndpointDirectory,
     private val clients: EndpointClients,
@@ -29,16 +32,25 @@
         val uptimeMillis: Long? = null,
     )
 
-    private val duty = DutyThread.start<Unit>("load-reports", RING_CAPACITY, interval, ::pollAll) { pollAll() }
+    private var position = 0
+    private val duty = DutyThread.start<() -> Unit>("load-reports", RING_CAPACITY, interval, ::pollNext) { it() }
 
-    /** Polls at once instead of at the next interval. */
-    public fun pollSoon() {
-        duty.offer(Unit)
+    /** Polls the endpoints at [address] at once instead of in their turn. */
+    public fun pollSoon(address: String) {
+        duty.offer { directory.used.filter { it.address == address }.forEach(::poll) }
     }
 
     override fun close(): Unit = duty.close()
 
-    private fun pollAll(): Unit = directory.used.forEach(::poll)
+    /** Polls the next [POLLED_AT_ONCE] endpoints, so that a large deployment costs no more than a small one. */
+    private fun pollNext() {
+        val used = directory.used
+        if (used.size <= POLLED_AT_ONCE) return used.forEach(::poll)
+        repeat(POLLED_AT_ONCE) {
+            position = (position + 1) % used.size
+            poll(used[position])
+        }
+    }
 
     private fun poll(endpoint: Endpoint) {
         val askedAt = clock.nanos()
@@ -69,7 +81,8 @@
         }
 
     private companion object {
-        const val RING_CAPACITY = 16
+        const val RING_CAPACITY = 256
+        const val POLLED_AT_ONCE = 24
         const val STATUS_PATH = "/engine/status"
         val LENIENT = Json { ignoreUnknownKeys = true }
     }
