--- a/model/src/main/kotlin/dev/almondhaven/catalogue/CatalogueFold.kt
+++ b/model/src/main/kotlin/dev/almondhaven/catalogue/CatalogueFold.kt
@@ -11,7 +11,15 @@
  *
  * The fold is a pure function, so every holder of the same entries computes the same catalogue.
  */
-public fun Catalogue.accept(entry: ConfigurationEntry): Either<List<Problem>, Catalogue> =
+public fun Catalogue.accept(entry: ConfigurationEntry): Either<List<Problem>, Catalogue> {
+    val problems = CatalogueValidator.idProblems("id", entry.id.value)
+    return fold(entry).fold(
+        { (problems + it).left() },
+        { if (problems.isEmpty()) it.right() else problems.left() },
+    )
+}
+
+private fun Catalogue.fold(entry: ConfigurationEntry): Either<List<Problem>, Catalogue> =
     when (entry) {
         is ConfigurationEntry.NotePublished -> accept(entry.note)
         is ConfigurationEntry.DomainTakenOut -> withDomain(entry.domain) { it.copy(outOfService = true) }
@@ -80,7 +88,10 @@
     changes: ModelChanges,
     problems: MutableList<Problem>,
 ): List<ModelVersion> {
-    val kept = models.fold(Changes("models", changes.added, changes.changed, emptyList()), ModelVersion::id, problems)
+    val next = generation.next()
+    val added = changes.added.map { it.copy(definedIn = next) }
+    val changed = changes.changed.map { it.copy(definedIn = next) }
+    val kept = models.fold(Changes("models", added, changed, emptyList()), ModelVersion::id, problems)
     return changes.withdrawn.foldIndexed(kept) { index, versions, withdrawal ->
         val known = versions.any { it.model == withdrawal.model && it.version == withdrawal.version }
         if (!known) {
--- a/model/src/main/kotlin/dev/almondhaven/model/LogEvent.kt
+++ b/model/src/main/kotlin/dev/almondhaven/model/LogEvent.kt
@@ -35,6 +35,13 @@
     CONFIGURATION_STALE(2205, Level.WARN, "Nobody within reach has confirmed the configuration with the platform."),
     CONFIGURATION_CONFIRMED(2206, Level.INFO, "The configuration is confirmed by the platform again."),
     CONFIGURATION_DIVERGENT(2207, Level.ERROR, "Another catalogue has the generation in force; it was ignored."),
+    VERSION_QUARANTINED(3001, Level.WARN, "A version turned out bad and gets no new sessions; the evidence is given."),
+    RATINGS_UNAVAILABLE(3002, Level.WARN, "The rating service does not answer; choices go on with what is known."),
+    RATINGS_DISTRUSTED(3003, Level.WARN, "Most versions' ratings fell at once; those ratings are left out."),
+
+    SESSION_MOVED(3101, Level.INFO, "A session moved to the successor of its withdrawn version."),
+    SESSION_TOKEN_REFUSED(3102, Level.WARN, "A session token did not verify."),
+    SESSION_HOLDER_SILENT(3103, Level.WARN, "No holder of a session's version answered."),
 
     ENDPOINT_ANSWER_BAD(4001, Level.WARN, "An endpoint's answer failed or could not be read."),
     ENDPOINT_EJECTED(4002, Level.WARN, "An endpoint failed repeatedly and gets no requests for a while."),
--- a/router/src/main/kotlin/dev/almondhaven/router/Router.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/Router.kt
@@ -22,9 +22,9 @@
 import dev.almondhaven.router.endpoint.LoadReportPoller
 import dev.almondhaven.router.endpoint.WaitingRoom
 import dev.almondhaven.router.filter.AdmissionFilter
+import dev.almondhaven.router.filter.DomainServiceFilter
 import dev.almondhaven.router.filter.EndpointChoiceFilter
 import dev.almondhaven.router.filter.IdentifyFilter
-import dev.almondhaven.router.filter.ModelChoiceFilter
 import dev.almondhaven.router.filter.ModelListFilter
 import dev.almondhaven.router.filter.ParseFilter
 import dev.almondhaven.router.filter.RequestHandler
@@ -32,6 +32,7 @@
 import dev.almondhaven.router.filter.filterChain
 import dev.almondhaven.router.limit.UsageLimiter
 import dev.almondhaven.router.peer.PeerNetwork
+import dev.almondhaven.router.session.Sessions
 import dev.almondhaven.router.settings.RouterSettings
 import dev.almondhaven.router.settings.socketAddress
 import io.github.oshai.kotlinlogging.KotlinLogging
@@ -60,12 +61,15 @@
     private val workers = EndpointClients.newWorkers(Runtime.getRuntime().availableProcessors())
     private val clients = EndpointClients(workers, settings.endpoints.connectTimeout, settings.endpoints.pingInterval)
     private val peers = PeerNetwork.open(settings.peers, settings.process.failureDomain)
+    private val sessions = Sessions(settings.sessions, peers)
     private val directory = EndpointDirectory(holder, peers.view, clock)
     private val waitingRoom = WaitingRoom(clock)
     private val limiter = UsageLimiter(holder, peers.view, clock)
     private val loadReports = LoadReportPoller(directory, clients, clock, settings.endpoints.statusInterval)
     private val watcher = ConfigurationWatcher(objects, holder, settings.platform.watchWait)
     private val claims = Claims(settings.claims, objects, clock, peers)
+    private val choice =
+        ModelChoice(holder, peers.self.id, settings.choice, clock, routers = { peers.view.members.size })
     private val server = buildServer()
 
     @Volatile
@@ -82,12 +86,17 @@
             holder.index.generation.value
                 .toDouble()
         }
+        metrics.gauge("almondhaven_sessions_remembered", "Sessions known by their id that this router remembers.") {
+            sessions.remembered.toDouble()
+        }
         peers.topics.register(limiter.gossip)
         clients.whenConnectionCloses { address ->
             directory.recordConnectionLost(address)
             loadReports.pollSoon(address)
         }
         watcher.start()
+        choice.topics.forEach { peers.topics.register(it) }
+        choice.start()
         server.start().join()
         LogEvent.ROUTER_STARTED.log(logger) { "port=$port domain=${settings.process.failureDomain}" }
     }
@@ -96,16 +105,25 @@
         filterChain(
             listOf(
                 RepeatOutcomeFilter,
+                DomainServiceFilter(holder, settings.process.failureDomain),
                 IdentifyFilter(holder),
                 ParseFilter(holder),
                 ModelListFilter(holder),
+                sessions.filter(holder),
                 AdmissionFilter(settings.requests.inFlight, limiter),
                 claims.filter,
-                ModelChoiceFilter(holder),
+                choice.filter(),
                 RetryFilter(settings.endpoints, clock),
                 EndpointChoiceFilter(directory, waitingRoom, clock),
             ),
-            Dispatcher(holder, clients, clock, settings.endpoints.firstByteDeadline, settings.claims.runLimit),
+            Dispatcher(
+                holder,
+                choice.policy,
+                clients,
+                clock,
+                settings.endpoints.firstByteDeadline,
+                settings.claims.runLimit,
+            ),
         )
 
     private fun buildServer(): Server =
@@ -118,11 +136,14 @@
             .maxRequestLength(settings.requests.bodyBytes)
             .gracefulShutdownTimeoutMillis(QUIET_PERIOD.inWholeMilliseconds, DRAIN_TIMEOUT.inWholeMilliseconds)
             .service("/health/live", HttpService { _, _ -> HttpResponse.of(HttpStatus.OK) })
-            .service("/health/ready", HealthCheckService.of(HealthChecker { holder.configured && !draining }))
+            .service("/health/ready", HealthCheckService.of(HealthChecker { takesWork() }))
             .service("/metrics", HttpService { _, _ -> metricsResponse() })
             .service("prefix:/", CallerService(chain(), metrics, settings.requests.requestTimeout, clock))
             .build()
 
+    private fun takesWork(): Boolean =
+        holder.configured && !draining && holder.index.inService(settings.process.failureDomain)
+
     private fun metricsResponse(): HttpResponse =
         HttpResponse.of(HttpStatus.OK, MediaType.PLAIN_TEXT_UTF_8, metrics.text())
 
@@ -138,6 +159,7 @@
         limiter.close()
         directory.close()
         peers.close()
+        choice.close()
         clients.close()
         workers.shutdownGracefully(0, 0, TimeUnit.SECONDS)
         LogEvent.ROUTER_STOPPED.log(logger)
--- a/router/src/main/kotlin/dev/almondhaven/router/endpoint/Dispatcher.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/endpoint/Dispatcher.kt
@@ -29,6 +29,7 @@
 import dev.almondhaven.router.filter.Exchange
 import dev.almondhaven.router.filter.RequestHandler
 import dev.almondhaven.router.filter.RequestPriority
+import dev.almondhaven.router.filter.VersionPolicy
 import dev.almondhaven.router.filter.completed
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.serialization.SerializationException
@@ -50,10 +51,11 @@
 
 /**
  * The end of the filter chain: sends the request to the chosen endpoint and reads its answer. Immediately before the
- * dispatch it checks once more, against the newest catalogue, that the version is allowed.
+ * dispatch it checks once more, against the newest catalogue and quarantines, that the version is allowed.
  */
 internal class Dispatcher(
     private val holder: CatalogueHolder,
+    private val policy: VersionPolicy,
     private val clients: EndpointClients,
     private val clock: NanoClock,
     private val firstByteDeadline: Duration,
@@ -64,10 +66,7 @@
         if (!remaining.isPositive()) {
             return refused(exchange, ResultCode.DEADLINE_EXCEEDED, "the deadline passed before the dispatch")
         }
-        val version = exchange.version
-        if (version != null && !holder.index.mayRun(exchange.organisation.id, version.id)) {
-            return refused(exchange, ResultCode.UNKNOWN_MODEL, "${version.id} is no longer allowed")
-        }
+        policy.objection(exchange)?.let { return Answer.Refused(it).completed() }
         if (!holder.index.takesNewWork(exchange.endpoint.id)) {
             return refused(exchange, ResultCode.NO_ENDPOINT, "endpoint ${exchange.endpoint.id} takes no new work")
         }
