--- a/decision/src/main/kotlin/dev/almondhaven/decision/endpoint/EndpointChooser.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/endpoint/EndpointChooser.kt
@@ -36,11 +36,13 @@
  * @property samples endpoints compared for each request.
  * @property affinityBonus queue, in requests per slot, that a warm cache makes up for.
  * @property borderPenalty queue that crossing the border is worth.
+ * @property queueingFrom load from which all slots may be taken: loads are estimates, and requests come in bursts.
  */
 public class EndpointChooser(
     private val samples: Int = DEFAULT_SAMPLES,
     private val affinityBonus: Double = DEFAULT_AFFINITY_BONUS,
     private val borderPenalty: Double = DEFAULT_BORDER_PENALTY,
+    private val queueingFrom: Double = DEFAULT_QUEUEING_FROM,
 ) {
     init {
         require(samples >= 1) { "samples must be 1 or more, got $samples" }
@@ -80,7 +82,7 @@
         state: EndpointState,
         pool: EndpointPool,
         now: Long,
-    ): Double = maxOf(0.0, state.load(now, pool.usualOthers) - QUEUEING_FROM)
+    ): Double = maxOf(0.0, state.load(now, pool.usualOthers) - queueingFrom)
 
     private fun leastLoaded(
         candidates: List<EndpointState>,
@@ -135,9 +137,7 @@
         public const val DEFAULT_SAMPLES: Int = 3
         public const val DEFAULT_AFFINITY_BONUS: Double = 0.1
         public const val DEFAULT_BORDER_PENALTY: Double = 0.02
+        public const val DEFAULT_QUEUEING_FROM: Double = 0.85
         private const val LONGEST_SEARCH = 32
-
-        /** Load from which some slots are likely all taken: loads are estimates, and requests come in bursts. */
-        private const val QUEUEING_FROM = 0.85
     }
 }
--- a/decision/src/main/kotlin/dev/almondhaven/decision/membership/RendezvousHash.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/membership/RendezvousHash.kt
@@ -21,9 +21,15 @@
         name: (T) -> String,
     ): List<T> {
         require(count >= 0) { "count must not be negative, got $count" }
-        return candidates.sortedByDescending { weight(key, name(it)).toULong() }.take(count)
+        val weighted = candidates.map { Weighted(it, weight(key, name(it)).toULong()) }
+        return weighted.sortedByDescending { it.weight }.take(count).map { it.candidate }
     }
 
+    private class Weighted<T>(
+        val candidate: T,
+        val weight: ULong,
+    )
+
     private fun weight(
         key: String,
         name: String,
--- a/experiments/src/main/kotlin/dev/almondhaven/experiments/Experiments.kt
+++ b/experiments/src/main/kotlin/dev/almondhaven/experiments/Experiments.kt
@@ -1,6 +1,8 @@
 package dev.almondhaven.experiments
 
 import dev.almondhaven.experiments.overhead.OverheadExperiment
+import dev.almondhaven.experiments.serving.OverloadExperiment
+import dev.almondhaven.experiments.serving.RetryExperiment
 import dev.almondhaven.experiments.serving.ServingExperiment
 
 /** Every experiment that `bin/measure` knows. */
@@ -10,5 +12,7 @@
         listOf(
             OverheadExperiment(),
             ServingExperiment(),
+            OverloadExperiment(),
+            RetryExperiment(),
         )
 }
--- a/experiments/src/main/kotlin/dev/almondhaven/experiments/serving/ServingRun.kt
+++ b/experiments/src/main/kotlin/dev/almondhaven/experiments/serving/ServingRun.kt
@@ -2,6 +2,7 @@
 
 import dev.almondhaven.catalogue.Endpoint
 import dev.almondhaven.decision.endpoint.ColdRamp
+import dev.almondhaven.decision.endpoint.EndpointChooser
 import dev.almondhaven.decision.endpoint.RouterSubset
 import dev.almondhaven.decision.membership.Member
 import dev.almondhaven.model.EndpointId
@@ -24,6 +25,7 @@
     RANDOM("random"),
     LEAST_REPORTED("least connections by stale reports"),
     WITHOUT_RAMP("almondhaven without ramp"),
+    EARLY_SPREADING("almondhaven, spreading from 0.7"),
     ALMONDHAVEN("almondhaven"),
 }
 
@@ -148,6 +150,10 @@
                 )
             }
 
+            PolicyKind.EARLY_SPREADING -> {
+                RouterPolicy(member, sharers, random, ColdRamp(), EndpointChooser(queueingFrom = EARLY))
+            }
+
             PolicyKind.ALMONDHAVEN -> {
                 RouterPolicy(member, sharers, random, ColdRamp())
             }
@@ -234,6 +240,7 @@
     }
 
     private companion object {
+        const val EARLY = 0.7
         const val SLOW_ENGINE = 2.0
         const val POLLED_AT_ONCE = 24
         const val SESSIONS_PER_ENDPOINT = 48
--- a/model/src/main/kotlin/dev/almondhaven/model/LogEvent.kt
+++ b/model/src/main/kotlin/dev/almondhaven/model/LogEvent.kt
@@ -47,6 +47,7 @@
     ENDPOINT_EJECTED(4002, Level.WARN, "An endpoint failed repeatedly and gets no requests for a while."),
     ENDPOINT_COLD(4003, Level.INFO, "An endpoint is cold; it is ramped from a small limit."),
     ANSWER_RESUMED(4004, Level.INFO, "A streamed answer goes on at another endpoint."),
+    ROUTER_DRAINING(4005, Level.INFO, "Readiness fails; the router waits for the balancer to take it out."),
 
     CLAIM_WRITE_UNSETTLED(5001, Level.WARN, "A read or write of claims failed; it is tried again."),
     CLAIM_OPERATION_DROPPED(5002, Level.WARN, "Too many claim operations wait; one was not taken."),
--- a/router/src/main/kotlin/dev/almondhaven/router/Router.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/Router.kt
@@ -40,7 +40,6 @@
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 
 private val logger = KotlinLogging.logger {}
 
@@ -134,7 +133,7 @@
             .requestTimeoutMillis(0)
             .errorHandler(CallerErrorHandler)
             .maxRequestLength(settings.requests.bodyBytes)
-            .gracefulShutdownTimeoutMillis(QUIET_PERIOD.inWholeMilliseconds, DRAIN_TIMEOUT.inWholeMilliseconds)
+            .gracefulShutdownTimeoutMillis(QUIET_PERIOD.inWholeMilliseconds, settings.drain.timeout.inWholeMilliseconds)
             .service("/health/live", HttpService { _, _ -> HttpResponse.of(HttpStatus.OK) })
             .service("/health/ready", HealthCheckService.of(HealthChecker { takesWork() }))
             .service("/metrics", HttpService { _, _ -> metricsResponse() })
@@ -147,7 +146,15 @@
     private fun metricsResponse(): HttpResponse =
         HttpResponse.of(HttpStatus.OK, MediaType.PLAIN_TEXT_UTF_8, metrics.text())
 
-    /** Fails readiness, lets running requests finish within the drain deadline, and stops. */
+    /** Fails readiness, gives the balancer time to take the router out, and then closes as [close] does. */
+    public fun drain() {
+        draining = true
+        LogEvent.ROUTER_DRAINING.log(logger) { "delay=${settings.drain.balancerDelay}" }
+        TimeUnit.NANOSECONDS.sleep(settings.drain.balancerDelay.inWholeNanoseconds)
+        close()
+    }
+
+    /** Stops listening, lets running requests finish within the drain timeout, and stops. */
     override fun close() {
         LogEvent.ROUTER_STOPPING.log(logger)
         draining = true
@@ -170,7 +177,6 @@
 
     public companion object {
         private val QUIET_PERIOD: Duration = 50.milliseconds
-        private val DRAIN_TIMEOUT: Duration = 30.seconds
 
         /** Starts a router against the platform that [settings] name. */
         public fun start(settings: RouterSettings): Router =
--- a/router/src/main/kotlin/dev/almondhaven/router/RouterMain.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/RouterMain.kt
@@ -32,7 +32,7 @@
 
     override fun run() {
         val router = Router.start(readSettings(settings))
-        Runtime.getRuntime().addShutdownHook(Thread({ router.close() }, "shutdown"))
+        Runtime.getRuntime().addShutdownHook(Thread({ router.drain() }, "shutdown"))
         router.join()
     }
 }
--- a/router/src/main/kotlin/dev/almondhaven/router/settings/RouterSettings.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/settings/RouterSettings.kt
@@ -68,6 +68,7 @@
     public val requests: RequestSettings = RequestSettings(),
     public val sessions: SessionSettings = SessionSettings(),
     public val endpoints: EndpointSettings = EndpointSettings(),
+    public val drain: DrainSettings = DrainSettings(),
     public val claims: ClaimSettings = ClaimSettings(),
     public val peers: PeerSettings? = null,
     public val choice: ChoiceSettings = ChoiceSettings(),
@@ -94,6 +95,7 @@
             addAll(positive("requests.requestTimeout", requests.requestTimeout))
             addAll(sessions.problems())
             addAll(endpoints.problems())
+            addAll(drain.problems(requests.requestTimeout))
             peers?.let { addAll(it.problems()) }
         }
 
--- a/router/src/test/kotlin/dev/almondhaven/router/ServingPathTest.kt
+++ b/router/src/test/kotlin/dev/almondhaven/router/ServingPathTest.kt
@@ -1,5 +1,6 @@
 package dev.almondhaven.router
 
+import dev.almondhaven.catalogue.releaseNote
 import dev.almondhaven.model.Outcome
 import dev.almondhaven.model.ResultCode
 import dev.almondhaven.router.settings.EndpointSettings
@@ -16,6 +17,10 @@
 import strikt.api.expectThat
 import strikt.assertions.containsExactly
 import strikt.assertions.isEqualTo
+import strikt.assertions.isTrue
+import java.net.ServerSocket
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.TimeUnit
 import kotlin.time.Duration.Companion.milliseconds
 
 @TestInstance(TestInstance.Lifecycle.PER_CLASS)
@@ -98,4 +103,71 @@
             expectThat(error.code to error.outcome).isEqualTo(ResultCode.ENDPOINT_FAILED.number to Outcome.UNKNOWN)
         }
     }
+
+    @Nested
+    inner class `an endpoint that can't be reached` {
+        @Test
+        fun `leaves a request that truly has not run`() {
+            val closedPort = ServerSocket(0).use { "127.0.0.1:${it.localPort}" }
+            val note =
+                releaseNote("unreachable", reason = "test") {
+                    model("ghost", "1") {
+                        price(input = 1.0, output = 2.0)
+                        quality(0.1)
+                    }
+                    engine("ghost", "west", closedPort, "ghost@1")
+                    changeOrganisation("roofers") {
+                        with(deployment) { roofers() }
+                        allow("slate")
+                        allow("ghost")
+                    }
+                }
+            deployment.publish(note)
+            val response = deployment.send("""{"model":"ghost","messages":[]}""")
+            val error = Json.decodeFromString(ErrorBody.serializer(), response.contentUtf8()).error
+
+            expectThat(error.code to error.outcome)
+                .isEqualTo(ResultCode.ENDPOINT_UNREACHABLE.number to Outcome.NOT_RUN)
+        }
+    }
+
+    @Nested
+    inner class `a caller that leaves` {
+        @Test
+        fun `cancels the engine's work`() {
+            engines.forEach { it.behaviour = EngineBehaviour(betweenTokens = 20.milliseconds) }
+            val before = engines.sumOf { it.cancellations }
+            val response = deployment.sendStreaming("""{"stream":true,"messages":[],"max_tokens":100000}""")
+            response.split().headers().join()
+            response.abort()
+
+            expectThat(eventually { engines.sumOf { it.cancellations } == before + 1 }).isTrue()
+            expectThat(eventually { engines.all { it.runningNow == 0 } }).isTrue()
+        }
+    }
+
+    @Nested
+    inner class `a planned stop` {
+        @Test
+        fun `fails readiness first and cuts no request`() {
+            val slow = EngineBehaviour(timeToFirstToken = 400.milliseconds)
+            TestDeployment(slow).publish().use { leaving ->
+                val answer = CompletableFuture.supplyAsync { leaving.send(whole) }
+                check(eventually { leaving.engine.records.isNotEmpty() }) { "the request didn't reach the engine" }
+                val drained = CompletableFuture.runAsync { leaving.router.drain() }
+                val unready = eventually { leaving.get("/health/ready").status().code() == 503 }
+                drained.join()
+
+                expectThat(unready to answer.join().status().code()).isEqualTo(true to 200)
+            }
+        }
+    }
+
+    private fun eventually(condition: () -> Boolean): Boolean {
+        repeat(500) {
+            if (condition()) return true
+            TimeUnit.MILLISECONDS.sleep(10)
+        }
+        return false
+    }
 }
