--- a/experiments/src/main/kotlin/dev/almondhaven/experiments/Experiments.kt
+++ b/experiments/src/main/kotlin/dev/almondhaven/experiments/Experiments.kt
@@ -1,5 +1,7 @@
 package dev.almondhaven.experiments
 
+import dev.almondhaven.experiments.distribution.DistributionExperiment
+import dev.almondhaven.experiments.distribution.MembershipExperiment
 import dev.almondhaven.experiments.overhead.OverheadExperiment
 import dev.almondhaven.experiments.serving.OverloadExperiment
 import dev.almondhaven.experiments.serving.RetryExperiment
@@ -14,5 +16,7 @@
             ServingExperiment(),
             OverloadExperiment(),
             RetryExperiment(),
+            MembershipExperiment(),
+            DistributionExperiment(),
         )
 }
--- /dev/null
+++ b/router/src/main/kotlin/dev/almondhaven/router/billing/Billing.kt
@@ -0,0 +1,216 @@
+package dev.almondhaven.router.billing
+
+import arrow.core.Either
+import dev.almondhaven.billing.BatchName
+import dev.almondhaven.billing.BillingRecord
+import dev.almondhaven.billing.SealedBatch
+import dev.almondhaven.decision.billing.BillingOutbox
+import dev.almondhaven.decision.billing.HeldCopies
+import dev.almondhaven.decision.billing.OutboxLimits
+import dev.almondhaven.decision.membership.Member
+import dev.almondhaven.decision.membership.RendezvousHash
+import dev.almondhaven.model.LogEvent
+import dev.almondhaven.model.NanoClock
+import dev.almondhaven.model.RouterId
+import dev.almondhaven.peer.PeerProtocol
+import dev.almondhaven.platform.BillingStore
+import dev.almondhaven.platform.ObjectStore
+import dev.almondhaven.router.RouterMetrics
+import dev.almondhaven.router.controller.DutyThread
+import dev.almondhaven.router.peer.PeerError
+import dev.almondhaven.router.peer.PeerNetwork
+import dev.almondhaven.router.settings.BillingSettings
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.serialization.KSerializer
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration.Companion.milliseconds
+
+private val logger = KotlinLogging.logger {}
+
+/**
+ * Brings the billing records of this router to the platform. Batches are copied to a peer as soon as they are sealed,
+ * and stored by the one router that writes for the failure domain; whatever is stored twice is billed once, since a
+ * batch never changes.
+ */
+internal class Billing(
+    settings: BillingSettings,
+    objects: ObjectStore,
+    private val clock: NanoClock,
+    private val network: PeerNetwork,
+    metrics: RouterMetrics,
+) : AutoCloseable {
+    private val outbox = BillingOutbox(network.self.id, OutboxLimits(records = settings.records))
+    private val copies = HeldCopies(settings.records)
+    private val mostCopies = settings.records
+    private val askedBy = ConcurrentHashMap<BatchName, Member>()
+    private val released = ArrayList<BatchName>()
+    private val asked = HashSet<BatchName>()
+    private val writer = BillingWriter(BillingStore(objects), settings.writeInterval, settings.records, ::stored)
+    private val duty = DutyThread.start("billing", RING, TICK, ::tick, ::take)
+
+    init {
+        network.handlers.register(HOLD_PATH, ::answerHold)
+        network.handlers.register(STORE_PATH, ::answerStore)
+        network.handlers.register(STORED_PATH, ::answerStored)
+        metrics.gauge("almondhaven_billing_records_held", "Billing records that the platform doesn't hold yet.") {
+            outbox.held.toDouble()
+        }
+        metrics.gauge("almondhaven_billing_copies_held", "Copies of other routers' billing records.") {
+            copies.records.toDouble()
+        }
+        metrics.gauge("almondhaven_billing_records_overflowed", "Billing records that were lost for want of room.") {
+            (outbox.overflowed + duty.rejected).toDouble()
+        }
+    }
+
+    /** Takes a record; never blocks. */
+    fun offer(record: BillingRecord) {
+        if (!duty.offer(BillingMessage.Ended(record))) overflowed(record)
+    }
+
+    private fun overflowed(record: BillingRecord): Unit =
+        LogEvent.BILLING_OVERFLOWED.log(logger) { "request=${record.request} organisation=${record.organisation}" }
+
+    private fun take(message: BillingMessage) {
+        when (message) {
+            is BillingMessage.Ended -> if (!outbox.add(message.record, clock.nanos())) overflowed(message.record)
+            is BillingMessage.Stored -> message.names.forEach { if (outbox.stored(it)) released += it }
+            is BillingMessage.Held -> holdCopies(message.message)
+            is BillingMessage.Copied -> copied(message)
+            BillingMessage.Flush -> seal(force = true)
+        }
+    }
+
+    private fun holdCopies(message: HoldCopies) {
+        copies.release(message.released)
+        message.batches.forEach { copies.hold(it) }
+    }
+
+    private fun tick() {
+        seal(force = false)
+        copyToPeer()
+        outbox.due(clock.nanos(), BATCHES_AT_ONCE).forEach(::sendToWriter)
+        val live = live()
+        copies.takeOrphans(live, clock.nanos()).forEach(::adopt)
+    }
+
+    private fun live(): Set<RouterId> =
+        network.view.members
+            .map(Member::id)
+            .toSet()
+
+    private fun adopt(batch: SealedBatch) {
+        LogEvent.BILLING_ORPHANS_TAKEN.log(logger) { "batch=${batch.name} records=${batch.records.size}" }
+        outbox.adopt(batch, clock.nanos())
+    }
+
+    private fun seal(force: Boolean) {
+        var batch = outbox.seal(clock.nanos(), System.currentTimeMillis(), force)
+        while (batch != null) batch = outbox.seal(clock.nanos(), System.currentTimeMillis(), force)
+    }
+
+    /** Sends a peer copies of what it doesn't hold, and tells it what it need not hold any longer. */
+    private fun copyToPeer() {
+        val peer = peerForCopies() ?: return
+        val batches = outbox.uncopied(live(), BATCHES_AT_ONCE).filter { asked.add(it.name) }
+        if (batches.isEmpty() && released.size < RELEASED_AT_ONCE) return
+        val message = HoldCopies(batches, released.toList())
+        released.clear()
+        post(peer, HOLD_PATH, message, HoldCopies.serializer()).whenComplete { answer, _ ->
+            duty.offer(BillingMessage.Copied(batches.map { it.name }, peer.id.takeIf { accepted(answer) }))
+        }
+    }
+
+    private fun peerForCopies(): Member? {
+        val others = network.view.members.filter { it.id != network.self.id }
+        return RendezvousHash.choose("billing-copies/${network.self.id}", others, 1) { it.id.value }.firstOrNull()
+    }
+
+    private fun copied(message: BillingMessage.Copied) {
+        asked -= message.names.toSet()
+        message.holder?.let { holder -> message.names.forEach { outbox.copied(it, holder) } }
+    }
+
+    private fun sendToWriter(batch: SealedBatch) {
+        val members = network.view.membersOf(network.self.failureDomain)
+        val chosen = RendezvousHash.choose("billing-writer", members, 1) { it.id.value }.firstOrNull()
+        if (chosen == null || chosen.id == network.self.id) {
+            writer.offer(batch)
+        } else {
+            post(chosen, STORE_PATH, StoreBatch(network.self, batch), StoreBatch.serializer())
+        }
+    }
+
+    /** Runs on the writer's thread. */
+    private fun stored(names: List<BatchName>) {
+        duty.offer(BillingMessage.Stored(names))
+        duty.offer(BillingMessage.Held(HoldCopies(released = names)))
+        val byAsker = names.mapNotNull { name -> askedBy.remove(name)?.let { it to name } }
+        byAsker.groupBy({ it.first }, { it.second }).forEach { (asker, theirs) ->
+            post(asker, STORED_PATH, BatchesStored(theirs), BatchesStored.serializer())
+        }
+    }
+
+    private fun <M> post(
+        to: Member,
+        path: String,
+        message: M,
+        serializer: KSerializer<M>,
+    ): CompletableFuture<Either<PeerError, String>> =
+        network.transport.post(to, path, PeerProtocol.json.encodeToString(serializer, message))
+
+    private fun accepted(answer: Either<PeerError, String>?): Boolean {
+        val text = answer?.getOrNull() ?: return false
+        return PeerProtocol.json.decodeFromString(BillingAccepted.serializer(), text).accepted
+    }
+
+    private fun answerHold(body: String): String {
+        val message = PeerProtocol.json.decodeFromString(HoldCopies.serializer(), body)
+        val room = copies.records + message.batches.sumOf { it.records.size } <= mostCopies
+        return accepted(room && duty.offer(BillingMessage.Held(message)))
+    }
+
+    private fun answerStore(body: String): String {
+        val message = PeerProtocol.json.decodeFromString(StoreBatch.serializer(), body)
+        // An asker that is forgotten sends its batch again.
+        if (askedBy.size > MOST_ASKERS) askedBy.clear()
+        askedBy[message.batch.name] = message.from
+        val taken = writer.offer(message.batch)
+        if (!taken) askedBy.remove(message.batch.name)
+        return accepted(taken)
+    }
+
+    private fun answerStored(body: String): String {
+        val message = PeerProtocol.json.decodeFromString(BatchesStored.serializer(), body)
+        return accepted(duty.offer(BillingMessage.Stored(message.names)))
+    }
+
+    private fun accepted(taken: Boolean): String =
+        PeerProtocol.json.encodeToString(BillingAccepted.serializer(), BillingAccepted(taken))
+
+    /** Seals what is open, and waits a while for the platform to hold everything. */
+    override fun close() {
+        duty.offer(BillingMessage.Flush)
+        val end = clock.nanos() + CLOSE_PATIENCE.inWholeNanoseconds
+        do {
+            TimeUnit.MILLISECONDS.sleep(TICK.inWholeMilliseconds)
+        } while ((outbox.held > 0 || duty.waiting > 0) && clock.nanos() - end < 0)
+        if (outbox.held > 0) LogEvent.BILLING_LEFT_UNSTORED.log(logger) { "records=${outbox.held}" }
+        duty.stop()
+        writer.close()
+    }
+
+    private companion object {
+        const val HOLD_PATH = "billing/hold"
+        const val STORE_PATH = "billing/store"
+        const val STORED_PATH = "billing/stored"
+        const val RING = 16_384
+        const val BATCHES_AT_ONCE = 64
+        const val RELEASED_AT_ONCE = 16
+        const val MOST_ASKERS = 20_000
+        val TICK = 50.milliseconds
+        val CLOSE_PATIENCE = 3_000.milliseconds
+    }
+}
