--- a/decision/src/main/kotlin/dev/almondhaven/decision/endpoint/EndpointLimiter.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/endpoint/EndpointLimiter.kt
@@ -30,7 +30,8 @@
         val previous = state.report
         if (!state.accept(report, takenAt)) return false
         reportless = false
-        suspectedAt = null
+        // A report from before the connections broke says nothing about what came after.
+        if (takenAt >= (suspectedAt ?: takenAt)) suspectedAt = null
         adaptive.setMaximum(state.slots * WARM_QUEUE_FACTOR)
         val restarted = previous == null || previous.startId != report.startId
         if (!restarted) return false
--- a/decision/src/test/kotlin/dev/almondhaven/decision/endpoint/EndpointLimiterTest.kt
+++ b/decision/src/test/kotlin/dev/almondhaven/decision/endpoint/EndpointLimiterTest.kt
@@ -79,6 +79,15 @@
             expectThat(listOf(suspected, limitAt(2.seconds))).containsExactly(2, 32)
         }
 
+        @Test
+        fun `stays held back when the report is older than the break`() {
+            reportAt(0.seconds, report("a", uptime = 60.seconds))
+            limiter.recordConnectionLost(2.seconds.inWholeNanoseconds)
+            reportAt(1.seconds, report("a", uptime = 61.seconds))
+
+            expectThat(limitAt(2.seconds)).isEqualTo(2)
+        }
+
         @Test
         fun `whose latency collapses is ramped again`() {
             reportAt(0.seconds, report("a", uptime = 60.seconds))
