--- a/decision/src/main/kotlin/dev/almondhaven/decision/membership/RendezvousHash.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/membership/RendezvousHash.kt
@@ -13,6 +13,11 @@
 public object RendezvousHash {
     private val hash = Hashing.farmHashFingerprint64()
 
+    private class Weighted<T>(
+        val candidate: T,
+        val weight: ULong,
+    )
+
     /** The [count] candidates with the highest weight for [key], heaviest first. */
     public fun <T> choose(
         key: String,
@@ -21,15 +26,13 @@
         name: (T) -> String,
     ): List<T> {
         require(count >= 0) { "count must not be negative, got $count" }
-        val weighted = candidates.map { Weighted(it, weight(key, name(it)).toULong()) }
-        return weighted.sortedByDescending { it.weight }.take(count).map { it.candidate }
+        return candidates
+            .map { Weighted(it, weight(key, name(it)).toULong()) }
+            .sortedByDescending { it.weight }
+            .take(count)
+            .map { it.candidate }
     }
 
-    private class Weighted<T>(
-        val candidate: T,
-        val weight: ULong,
-    )
-
     private fun weight(
         key: String,
         name: String,
--- a/experiments/src/main/kotlin/dev/almondhaven/experiments/Experiments.kt
+++ b/experiments/src/main/kotlin/dev/almondhaven/experiments/Experiments.kt
@@ -1,5 +1,7 @@
 package dev.almondhaven.experiments
 
+import dev.almondhaven.experiments.capacity.RouterCostExperiment
+import dev.almondhaven.experiments.deployment.DeploymentsExperiment
 import dev.almondhaven.experiments.distribution.DistributionExperiment
 import dev.almondhaven.experiments.distribution.MembershipExperiment
 import dev.almondhaven.experiments.overhead.OverheadExperiment
@@ -18,5 +20,7 @@
             RetryExperiment(),
             MembershipExperiment(),
             DistributionExperiment(),
+            DeploymentsExperiment(),
+            RouterCostExperiment(),
         )
 }
--- a/router/src/main/kotlin/dev/almondhaven/router/settings/RouterSettings.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/settings/RouterSettings.kt
@@ -76,6 +76,7 @@
     public val claims: ClaimSettings = ClaimSettings(),
     public val billing: BillingSettings = BillingSettings(),
     public val peers: PeerSettings? = null,
+    public val engineOrders: EngineOrderSettings = EngineOrderSettings(),
     public val choice: ChoiceSettings = ChoiceSettings(),
 ) {
     /** Everything that is wrong with the values themselves. */
@@ -106,6 +107,7 @@
             addAll(endpoints.problems())
             addAll(drain.problems(requests.requestTimeout))
             peers?.let { addAll(it.problems()) }
+            addAll(engineOrders.problems())
         }
 
     public companion object {
--- a/stand-ins/src/main/kotlin/dev/almondhaven/standins/StandInsMain.kt
+++ b/stand-ins/src/main/kotlin/dev/almondhaven/standins/StandInsMain.kt
@@ -5,18 +5,21 @@
 import com.github.ajalt.clikt.core.main
 import com.github.ajalt.clikt.core.subcommands
 import com.github.ajalt.clikt.parameters.options.default
+import com.github.ajalt.clikt.parameters.options.flag
+import com.github.ajalt.clikt.parameters.options.multiple
 import com.github.ajalt.clikt.parameters.options.option
 import com.github.ajalt.clikt.parameters.options.required
 import com.github.ajalt.clikt.parameters.types.int
 import com.github.ajalt.clikt.parameters.types.long
 import com.linecorp.armeria.server.ServerBuilder
+import dev.almondhaven.peer.VmListEntry
 import dev.almondhaven.platform.InMemoryObjectStore
 import kotlin.time.Duration.Companion.milliseconds
 
 /** Starts stand-ins as processes of their own, for the try-out. */
 public fun main(arguments: Array<String>): Unit =
     StandInsCommand()
-        .subcommands(ObjectStoreCommand(), EngineCommand(), ServiceCommand())
+        .subcommands(ObjectStoreCommand(), EngineCommand(), ServiceCommand(), VmListCommand())
         .main(arguments)
 
 private class StandInsCommand : CliktCommand(name = "stand-ins") {
@@ -48,10 +51,16 @@
     private val firstToken by option(help = "Milliseconds to the first token.").long().default(DEFAULT_FIRST_TOKEN)
     private val betweenTokens by option(help = "Milliseconds between tokens.").long().default(DEFAULT_BETWEEN_TOKENS)
 
-    override fun configure(builder: ServerBuilder): Unit =
+    private val ignoreFencing by option(help = "Take orders with old fencing numbers.").flag()
+    private val loadTime by option(help = "Milliseconds to load a version.").long().default(DEFAULT_LOAD_TIME)
+
+    override fun configure(builder: ServerBuilder) {
         EngineStandIn(EngineBehaviour(firstToken.milliseconds, betweenTokens.milliseconds)).addTo(builder)
+        EngineLoadStandIn(!ignoreFencing, loadTime.milliseconds).addTo(builder)
+    }
 
     private companion object {
+        const val DEFAULT_LOAD_TIME = 2_000L
         const val DEFAULT_FIRST_TOKEN = 30L
         const val DEFAULT_BETWEEN_TOKENS = 10L
     }
@@ -60,3 +69,9 @@
 private class ServiceCommand : ServerCommand("service", "A plain service that records every call it runs.") {
     override fun configure(builder: ServerBuilder): Unit = ServiceStandIn().addTo(builder)
 }
+
+private class VmListCommand : ServerCommand("vm-list", "The platform's list of VMs.") {
+    private val live by option(help = "ip:port of a live VM's router; may be given often.").multiple()
+
+    override fun configure(builder: ServerBuilder): Unit = VmListStandIn(live.map { VmListEntry(it) }).addTo(builder)
+}
