--- a/decision/src/main/kotlin/dev/almondhaven/decision/endpoint/EndpointChooser.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/endpoint/EndpointChooser.kt
@@ -34,13 +34,15 @@
  * failure domain only when the own endpoints queue.
  *
  * @property samples endpoints compared for each request.
- * @property affinityBonus load, in requests per slot, that a warm cache makes up for.
- * @property borderPenalty load that crossing the border costs.
+ * @property affinityBonus queue, in requests per slot, that a warm cache makes up for.
+ * @property borderPenalty queue that crossing the border is worth.
+ * @property queueingFrom load from which all slots may be taken: loads are estimates, and requests come in bursts.
  */
 public class EndpointChooser(
     private val samples: Int = DEFAULT_SAMPLES,
     private val affinityBonus: Double = DEFAULT_AFFINITY_BONUS,
     private val borderPenalty: Double = DEFAULT_BORDER_PENALTY,
+    private val queueingFrom: Double = DEFAULT_QUEUEING_FROM,
 ) {
     init {
         require(samples >= 1) { "samples must be 1 or more, got $samples" }
@@ -65,16 +67,23 @@
         random: UniformRandomProvider,
     ): EndpointState? {
         val local = leastLoaded(pool.local, pool, request, now, random)
-        val localLoad = local?.load(now, pool.usualOthers) ?: Double.MAX_VALUE
+        val localQueue = local?.let { queue(it, pool, now) } ?: Double.MAX_VALUE
         val preferred = request.affinityKey?.let { pool.preferred(it) }
         if (preferred != null && usable(preferred, request, now)) {
-            if (preferred.load(now, pool.usualOthers) <= localLoad + affinityBonus) return preferred
+            if (queue(preferred, pool, now) <= localQueue + affinityBonus) return preferred
         }
-        if (localLoad < FULL) return local
+        if (localQueue == 0.0) return local
         val remote = leastLoaded(pool.remote, pool, request, now, random) ?: return local
-        return if (remote.load(now, pool.usualOthers) + borderPenalty < localLoad) remote else local
+        return if (queue(remote, pool, now) + borderPenalty < localQueue) remote else local
     }
 
+    /** Load beyond what likely finds a free slot; below that every endpoint starts a request at once. */
+    private fun queue(
+        state: EndpointState,
+        pool: EndpointPool,
+        now: Long,
+    ): Double = maxOf(0.0, state.load(now, pool.usualOthers) - queueingFrom)
+
     private fun leastLoaded(
         candidates: List<EndpointState>,
         pool: EndpointPool,
@@ -126,11 +135,9 @@
 
     public companion object {
         public const val DEFAULT_SAMPLES: Int = 3
-        public const val DEFAULT_AFFINITY_BONUS: Double = 0.5
-        public const val DEFAULT_BORDER_PENALTY: Double = 0.25
+        public const val DEFAULT_AFFINITY_BONUS: Double = 0.1
+        public const val DEFAULT_BORDER_PENALTY: Double = 0.02
+        public const val DEFAULT_QUEUEING_FROM: Double = 0.85
         private const val LONGEST_SEARCH = 32
-
-        /** Load at which every slot is taken. */
-        private const val FULL = 1.0
     }
 }
--- a/experiments/src/main/kotlin/dev/almondhaven/experiments/Experiments.kt
+++ b/experiments/src/main/kotlin/dev/almondhaven/experiments/Experiments.kt
@@ -8,6 +8,9 @@
 import dev.almondhaven.experiments.distribution.DistributionExperiment
 import dev.almondhaven.experiments.distribution.MembershipExperiment
 import dev.almondhaven.experiments.overhead.OverheadExperiment
+import dev.almondhaven.experiments.serving.OverloadExperiment
+import dev.almondhaven.experiments.serving.RetryExperiment
+import dev.almondhaven.experiments.serving.ServingExperiment
 
 /** Every experiment that `bin/measure` knows. */
 public object Experiments {
@@ -17,6 +20,9 @@
             OverheadExperiment(),
             PublishingExperiment(),
             SessionExperiment(),
+            ServingExperiment(),
+            OverloadExperiment(),
+            RetryExperiment(),
             MembershipExperiment(),
             DistributionExperiment(),
             DeploymentsExperiment(),
