--- a/experiments/src/main/kotlin/dev/almondhaven/experiments/Experiments.kt
+++ b/experiments/src/main/kotlin/dev/almondhaven/experiments/Experiments.kt
@@ -2,6 +2,8 @@
 
 import dev.almondhaven.experiments.configuration.PublishingExperiment
 import dev.almondhaven.experiments.configuration.SessionExperiment
+import dev.almondhaven.experiments.capacity.RouterCostExperiment
+import dev.almondhaven.experiments.deployment.DeploymentsExperiment
 import dev.almondhaven.experiments.distribution.DistributionExperiment
 import dev.almondhaven.experiments.distribution.MembershipExperiment
 import dev.almondhaven.experiments.overhead.OverheadExperiment
@@ -16,5 +18,7 @@
             SessionExperiment(),
             MembershipExperiment(),
             DistributionExperiment(),
+            DeploymentsExperiment(),
+            RouterCostExperiment(),
         )
 }
--- a/model/src/main/kotlin/dev/almondhaven/model/LogEvent.kt
+++ b/model/src/main/kotlin/dev/almondhaven/model/LogEvent.kt
@@ -57,6 +57,11 @@
     BILLING_WRITE_FAILED(5102, Level.WARN, "Billing records could not be written to the platform; they are kept."),
     BILLING_ORPHANS_TAKEN(5103, Level.INFO, "The records of a router that is gone are stored from their copy."),
     BILLING_LEFT_UNSTORED(5104, Level.WARN, "The router stops with records that only a peer's copy holds."),
+
+    ENGINE_LEASE_HELD(5401, Level.INFO, "This router gives the orders to the engines of a failure domain."),
+    ENGINE_LEASE_ENDED(5402, Level.INFO, "This router no longer gives orders to the engines of a failure domain."),
+    ENGINE_ORDER_TAKEN(5403, Level.INFO, "An engine took an order to load or unload versions."),
+    ENGINE_ORDER_FAILED(5404, Level.WARN, "An engine refused an order or did not answer."),
     ;
 
     /** Logs this event to [logger] with [detail], which ought to be `name=value` pairs. */
--- a/router/src/main/kotlin/dev/almondhaven/router/Router.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/Router.kt
@@ -36,6 +36,7 @@
 import dev.almondhaven.router.filter.RetryFilter
 import dev.almondhaven.router.filter.filterChain
 import dev.almondhaven.router.limit.UsageLimiter
+import dev.almondhaven.router.order.EngineOrderController
 import dev.almondhaven.router.peer.PeerController
 import dev.almondhaven.router.peer.PeerNetwork
 import dev.almondhaven.router.peer.StatusReporter
@@ -87,6 +88,7 @@
     private val claims = Claims(settings.claims, objects, clock, peers)
     private val choice =
         ModelChoice(holder, peers.self.id, settings.choice, clock, routers = { peers.view.members.size })
+    private val engineOrders = EngineOrderController(settings.engineOrders, holder, peers.view, objects, clock)
     private val server = buildServer()
 
     @Volatile
@@ -108,6 +110,7 @@
         addGauges()
         peers.topics.register(limiter.gossip)
         watcher.start()
+        engineOrders.start()
         choice.topics.forEach { peers.topics.register(it) }
         choice.start()
         server.start().join()
@@ -193,6 +196,7 @@
         LogEvent.ROUTER_STOPPING.log(logger)
         draining = true
         peerController?.close()
+        engineOrders.close()
         server.stop().join()
         claims.close()
         billing.close()
