--- a/experiments/src/main/kotlin/dev/almondhaven/experiments/Experiments.kt
+++ b/experiments/src/main/kotlin/dev/almondhaven/experiments/Experiments.kt
@@ -1,8 +1,8 @@
 package dev.almondhaven.experiments
 
+import dev.almondhaven.experiments.capacity.RouterCostExperiment
 import dev.almondhaven.experiments.configuration.PublishingExperiment
 import dev.almondhaven.experiments.configuration.SessionExperiment
-import dev.almondhaven.experiments.capacity.RouterCostExperiment
 import dev.almondhaven.experiments.deployment.DeploymentsExperiment
 import dev.almondhaven.experiments.distribution.DistributionExperiment
 import dev.almondhaven.experiments.distribution.MembershipExperiment
