Measure claims; delete expired shards; bill export and verify; ends of attempts share writes

Change: periods of 2 s with 4 shards, since bytes written grow with the period; ends wait up to 500 ms for a claim to join.

--- a/decision/src/main/kotlin/dev/almondhaven/decision/claim/ClaimPlacement.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/claim/ClaimPlacement.kt
@@ -43,10 +43,10 @@
         public val DELETION_MARGIN: Duration = 1.hours
 
         /** Keys whose times fall in one period share their shards, so that their writes can be batched. */
-        public val PERIOD: Duration = 5.seconds
+        public val PERIOD: Duration = 2.seconds
 
         /** Shards of one period. */
-        public const val SHARDS_PER_PERIOD: Int = 8
+        public const val SHARDS_PER_PERIOD: Int = 4
 
         /** Shards of the keys that carry no time. */
         public const val UNDATED_SHARDS: Int = 64
--- a/decision/src/main/kotlin/dev/almondhaven/decision/claim/ShardWriter.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/claim/ShardWriter.kt
@@ -9,10 +9,12 @@
  * How a [ShardWriter] paces itself.
  *
  * @property writeInterval least time between two writes of one shard; operations that come between share a write.
+ * @property endDelay longest time that the end of an attempt waits for a claim to share its write.
  * @property firstBackoff bound of the random pause after the first failed call; it doubles with each failure.
  */
 public data class ShardWriterLimits(
     public val writeInterval: Duration = 100.milliseconds,
+    public val endDelay: Duration = 500.milliseconds,
     public val firstBackoff: Duration = 20.milliseconds,
     public val longestBackoff: Duration = 2.seconds,
     public val waiting: Int = 2_048,
@@ -31,6 +33,7 @@
     private class Submission<T>(
         val operation: ClaimOperation,
         val token: T,
+        val at: Long,
         var tried: Boolean = false,
     )
 
@@ -52,17 +55,18 @@
     /** Operations that are not settled. */
     public val pending: Int get() = waiting.size
 
-    /** Takes [operation]; false when too many wait, and it is then not taken. */
+    /** Takes [operation] at [now]; false when too many wait, and it is then not taken. */
     public fun submit(
         operation: ClaimOperation,
         token: T,
+        now: Long,
     ): Boolean {
         if (operation is ClaimOperation.Void && dropUntried(operation)) {
             settled += SettledOperation(token, ClaimVerdict.Recorded)
             return true
         }
         if (waiting.size >= limits.waiting) return false
-        waiting += Submission(operation, token)
+        waiting += Submission(operation, token, now)
         fresh = false
         return true
     }
@@ -76,23 +80,33 @@
         return !claim.tried
     }
 
-    /** What to do at [now], in monotonic nanoseconds; [wallMillis] is the time of day. */
+    /**
+     * What to do at [now], in monotonic nanoseconds; [wallMillis] is the time of day. With [hurry] ends of attempts don't
+     * wait for claims.
+     */
     public fun next(
         now: Long,
         wallMillis: Long,
+        hurry: Boolean = false,
     ): ShardStep {
         if (waiting.isEmpty()) return ShardStep.Idle
-        if (now < notBefore) return ShardStep.Wait(notBefore)
+        val start = if (hurry) notBefore else maxOf(notBefore, dueAt())
+        if (now < start) return ShardStep.Wait(start)
         val base = known ?: return ShardStep.Read
-        val start = base.document.compacted(wallMillis)
-        var document = start
+        val before = base.document.compacted(wallMillis)
+        var document = before
         planned =
             waiting.take(limits.batch).map { submission ->
                 val applied = document.apply(submission.operation, base.bytes)
                 document = applied.document
                 SettledOperation(submission.token, applied.verdict)
             }
-        return if (document == start) settleUnchanged() else write(document, base)
+        return if (document == before) settleUnchanged() else write(document, base)
+    }
+
+    private fun dueAt(): Long {
+        val claims = waiting.any { it.operation is ClaimOperation.Claim }
+        return if (claims) Long.MIN_VALUE else waiting.first().at + limits.endDelay.inWholeNanoseconds
     }
 
     private fun settleUnchanged(): ShardStep {
--- a/decision/src/test/kotlin/dev/almondhaven/decision/claim/ClaimSimulation.kt
+++ b/decision/src/test/kotlin/dev/almondhaven/decision/claim/ClaimSimulation.kt
@@ -73,9 +73,9 @@
             call: SimulatedCall?,
         ) {
             val owner = routers[random.nextInt(routers.size)]
-            later(owner) { owner.writer.submit(operation, call.takeIf { random.nextInt(5) > 0 }) }
-            if (owner !== this && random.nextInt(3) == 0) later(this) { writer.submit(operation, call) }
-            if (random.nextInt(10) == 0) later(owner) { owner.writer.submit(operation, null) }
+            later(owner) { owner.writer.submit(operation, call.takeIf { random.nextInt(5) > 0 }, now) }
+            if (owner !== this && random.nextInt(3) == 0) later(this) { writer.submit(operation, call, now) }
+            if (random.nextInt(10) == 0) later(owner) { owner.writer.submit(operation, null, now) }
         }
 
         fun answerQuestion(attempt: Attempt): AttemptStatus {
--- a/experiments/src/main/kotlin/dev/almondhaven/experiments/Experiments.kt
+++ b/experiments/src/main/kotlin/dev/almondhaven/experiments/Experiments.kt
@@ -1,5 +1,6 @@
 package dev.almondhaven.experiments
 
+import dev.almondhaven.experiments.claims.ClaimsExperiment
 import dev.almondhaven.experiments.overhead.OverheadExperiment
 
 /** Every experiment that `bin/measure` knows. */
@@ -8,5 +9,6 @@
     public val ALL: List<Experiment> =
         listOf(
             OverheadExperiment(),
+            ClaimsExperiment(),
         )
 }
--- /dev/null
+++ b/experiments/src/main/kotlin/dev/almondhaven/experiments/claims/ClaimLoad.kt
@@ -0,0 +1,260 @@
+package dev.almondhaven.experiments.claims
+
+import dev.almondhaven.decision.claim.Attempt
+import dev.almondhaven.decision.claim.ClaimKey
+import dev.almondhaven.decision.claim.ClaimOperation
+import dev.almondhaven.decision.claim.ClaimPlacement
+import dev.almondhaven.decision.claim.ClaimShard
+import dev.almondhaven.decision.claim.Digest
+import dev.almondhaven.decision.claim.RecordedAnswer
+import dev.almondhaven.decision.claim.ShardStep
+import dev.almondhaven.decision.claim.ShardVersion
+import dev.almondhaven.decision.claim.ShardWriter
+import dev.almondhaven.decision.claim.ShardWriterLimits
+import dev.almondhaven.model.NanoClock
+import dev.almondhaven.model.OrganisationId
+import dev.almondhaven.model.Outcome
+import dev.almondhaven.model.RouterId
+import dev.almondhaven.model.ServiceId
+import dev.almondhaven.platform.CallBudget
+import dev.almondhaven.platform.CircuitBreaker
+import org.HdrHistogram.Histogram
+import org.apache.commons.rng.simple.RandomSource
+import java.util.Base64
+import java.util.PriorityQueue
+import java.util.Random
+import kotlin.math.ln
+
+/**
+ * What a [ClaimLoad] does.
+ *
+ * @property claimsPerSecond non-idempotent calls a second over the whole fleet.
+ * @property dated whether keys are version 7 UUIDs.
+ * @property relayed part of the operations that reach the shard's owner; the rest is written by other routers.
+ * @property outage seconds of virtual time in which the platform is down; empty for none.
+ */
+internal data class ClaimLoadPlan(
+    val claimsPerSecond: Double,
+    val dated: Boolean = true,
+    val relayed: Double = 1.0,
+    val outage: IntRange = IntRange.EMPTY,
+    val seconds: Int = 120,
+    val routers: Int = 370,
+)
+
+/** What a [ClaimLoad] measured. */
+internal class ClaimLoadResult(
+    val writesBySecond: IntArray,
+    val readsBySecond: IntArray,
+    val settledBySecond: IntArray,
+    val latencyMicros: Histogram,
+    val bytesWritten: Long,
+    val claims: Int,
+    val largestObject: Int,
+    val bytesPerClaim: Double,
+)
+
+/** Drives the real shard writers in virtual time against a platform that answers every call in five milliseconds. */
+internal class ClaimLoad(
+    private val plan: ClaimLoadPlan,
+) {
+    private class Stored(
+        val text: String,
+        val version: Long,
+    )
+
+    private class Token(
+        val claimedAt: Long,
+        val operation: ClaimOperation,
+    )
+
+    private class Timed(
+        val at: Long,
+        val order: Long,
+        val action: () -> Unit,
+    )
+
+    private var now = 0L
+    private var order = 0L
+    private val random = Random(SEED)
+    private val timeline = PriorityQueue<Timed>(compareBy({ it.at }, { it.order }))
+    private val objects = HashMap<ClaimShard, Stored>()
+    private val writers = HashMap<WriterKey, Driver>()
+    private val processes = HashMap<Int, Process>()
+    private val writes = IntArray(plan.seconds + 1)
+    private val reads = IntArray(plan.seconds + 1)
+    private val settled = IntArray(plan.seconds + 1)
+    private val latency = Histogram(HIGHEST_MICROS, 3)
+    private var bytes = 0L
+    private var claims = 0
+    private var largest = 0
+
+    private data class WriterKey(
+        val shard: ClaimShard,
+        val router: Int,
+    )
+
+    /** One router's guards. */
+    private inner class Process {
+        val clock = NanoClock { now }
+        val breaker = CircuitBreaker(clock, kotlin.random.Random(random.nextInt()))
+        val writes = CallBudget(clock, BURST) { WRITES_PER_SECOND / plan.routers }
+        val reads = CallBudget(clock, BURST) { READS_PER_SECOND / plan.routers }
+    }
+
+    private inner class Driver(
+        val shard: ClaimShard,
+        router: Int,
+    ) {
+        val writer = ShardWriter<Token>(ShardWriterLimits(), RandomSource.SPLIT_MIX_64.create(random.nextLong()))
+        private val process = processes.getOrPut(router) { Process() }
+        private val inbox = ArrayList<Token>()
+        private var busy = false
+        private var wakeAt = Long.MAX_VALUE
+
+        fun submit(token: Token) {
+            inbox += token
+            pump()
+        }
+
+        private fun pump() {
+            if (busy) return
+            inbox.forEach { writer.submit(it.operation, it, now) }
+            inbox.clear()
+            when (val step = writer.next(now, now / NANOS_PER_MILLI)) {
+                ShardStep.Idle -> Unit
+                is ShardStep.Wait -> wake(step.until)
+                ShardStep.Read -> call(process.reads, reads) { read() }
+                is ShardStep.Write -> call(process.writes, writes) { write(step) }
+            }
+            writer.takeSettled().forEach { ended(shard, it.token) }
+        }
+
+        private fun wake(at: Long) {
+            if (wakeAt in (now + 1)..at) return
+            wakeAt = at
+            schedule(at) { pump() }
+        }
+
+        private fun call(
+            budget: CallBudget,
+            counted: IntArray,
+            action: () -> Unit,
+        ) {
+            val pause = budget.tryTake().inWholeNanoseconds
+            if (pause > 0) return schedule(now + pause) { pump() }
+            if (!process.breaker.tryPass()) return schedule(now + BREAKER_POLL_NANOS) { pump() }
+            counted[second()]++
+            busy = true
+            val down = second() in plan.outage
+            schedule(now + if (down) LOST_CALL_NANOS else CALL_NANOS) {
+                busy = false
+                if (down) {
+                    process.breaker.reportFailure()
+                    writer.onFailure(now)
+                } else {
+                    if (process.breaker.reportAnswer()) process.writes.empty()
+                    action()
+                }
+                pump()
+            }
+        }
+
+        private fun read() {
+            val stored = objects[shard]
+            writer.onRead(stored?.text, stored?.let { ShardVersion(it.version) })
+        }
+
+        private fun write(step: ShardStep.Write) {
+            val current = objects[shard]?.version
+            if (current != step.expected?.value) return writer.onConflict(now)
+            val version = (current ?: 0) + 1
+            objects[shard] = Stored(step.text, version)
+            bytes += step.text.length
+            largest = maxOf(largest, step.text.length)
+            writer.onWritten(ShardVersion(version), now)
+        }
+    }
+
+    fun run(): ClaimLoadResult {
+        arrive()
+        val end = plan.seconds * NANOS_PER_SECOND
+        while (timeline.isNotEmpty() && timeline.peek().at < end) {
+            val next = timeline.poll()
+            now = next.at
+            next.action()
+        }
+        val kept = objects.values.sumOf { it.text.length }.toDouble() / maxOf(claims, 1)
+        return ClaimLoadResult(writes, reads, settled, latency, bytes, claims, largest, kept)
+    }
+
+    private fun arrive() {
+        val gap = -ln(1 - random.nextDouble()) / plan.claimsPerSecond * NANOS_PER_SECOND
+        schedule(now + gap.toLong()) {
+            claim()
+            arrive()
+        }
+    }
+
+    private fun claim() {
+        claims++
+        val key = ClaimKey(OrganisationId("roofers"), ServiceId("orders"), keyText())
+        val placement = ClaimPlacement.of(key, now / NANOS_PER_MILLI) as ClaimPlacement.In
+        val attempt = Attempt(RouterId("west-1f2e3d4c5b6a7980"), claims.toLong())
+        val claim = ClaimOperation.Claim(key.digest, attempt, Digest.of(byteArrayOf(1)), now / NANOS_PER_MILLI)
+        driver(placement.shard).submit(Token(now, claim))
+    }
+
+    private fun keyText(): String {
+        if (!plan.dated) return "order-$claims"
+        val time = "%012x".format(now / NANOS_PER_MILLI)
+        return "${time.take(8)}-${time.drop(8)}-7000-8000-${"%012x".format(claims)}"
+    }
+
+    private fun driver(shard: ClaimShard): Driver {
+        val owner = shard.hashCode().mod(plan.routers)
+        val router = if (random.nextDouble() < plan.relayed) owner else random.nextInt(plan.routers)
+        return writers.getOrPut(WriterKey(shard, router)) { Driver(shard, router) }
+    }
+
+    private fun ended(
+        shard: ClaimShard,
+        token: Token,
+    ) {
+        val claim = token.operation as? ClaimOperation.Claim ?: return
+        latency.recordValue((now - token.claimedAt) / NANOS_PER_MICRO)
+        settled[second()]++
+        val service = (-ln(1 - random.nextDouble()) * SERVICE_NANOS).toLong()
+        schedule(now + service) {
+            val finish = ClaimOperation.Finish(claim.key, claim.attempt, Outcome.RAN, ANSWER)
+            driver(shard).submit(Token(now, finish))
+        }
+    }
+
+    private fun second() = (now / NANOS_PER_SECOND).toInt().coerceAtMost(plan.seconds)
+
+    private fun schedule(
+        at: Long,
+        action: () -> Unit,
+    ) {
+        timeline += Timed(at, order++, action)
+    }
+
+    private companion object {
+        const val SEED = 7L
+        const val NANOS_PER_MICRO = 1_000L
+        const val NANOS_PER_MILLI = 1_000_000L
+        const val NANOS_PER_SECOND = 1_000_000_000L
+        const val CALL_NANOS = 5 * NANOS_PER_MILLI
+        const val LOST_CALL_NANOS = 2 * NANOS_PER_SECOND
+        const val BREAKER_POLL_NANOS = 100 * NANOS_PER_MILLI
+        const val SERVICE_NANOS = 300.0 * NANOS_PER_MILLI
+        const val HIGHEST_MICROS = 600_000_000L
+        const val BURST = 100.0
+        const val WRITES_PER_SECOND = 200.0
+        const val READS_PER_SECOND = 1_500.0
+        const val ANSWER_BYTES = 200
+        val ANSWER =
+            RecordedAnswer(200, "application/json", Base64.getEncoder().encodeToString(ByteArray(ANSWER_BYTES)))
+    }
+}
--- /dev/null
+++ b/operator/src/main/kotlin/dev/almondhaven/operator/BillCommands.kt
@@ -0,0 +1,101 @@
+package dev.almondhaven.operator
+
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.core.subcommands
+import com.github.ajalt.clikt.parameters.options.default
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.types.choice
+import dev.almondhaven.billing.BillingRecord
+import dev.almondhaven.decision.billing.BillingStatement
+import dev.almondhaven.model.ResultCode
+import dev.almondhaven.platform.BillingStore
+import dev.almondhaven.platform.HttpObjectStore
+import kotlinx.serialization.builtins.ListSerializer
+import kotlinx.serialization.json.Json
+import java.net.URI
+
+/** Groups the commands that read billing records. */
+internal class BillCommand : CliktCommand(name = "bill") {
+    init {
+        subcommands(BillExportCommand(), BillVerifyCommand())
+    }
+
+    override fun help(context: Context): String = "Reads the billing records."
+
+    override fun run(): Unit = Unit
+}
+
+/** Prints one record for each request. */
+internal class BillExportCommand : CliktCommand(name = "export") {
+    private val platform by option(help = "Address of the object API.").default(DEFAULT_PLATFORM)
+    private val from by option(help = "First hour in UTC, yyyyMMddHH.").default("")
+    private val to by option(help = "Last hour in UTC, yyyyMMddHH.").default("")
+    private val format by option(help = "Format of the output.").choice("csv", "json").default("csv")
+
+    override fun help(context: Context): String = "Prints each billed request once, whatever was stored twice."
+
+    override fun run() {
+        val records = readStatement(platform, from, to).records
+        echo(if (format == "csv") csv(records) else json(records), trailingNewline = false)
+    }
+}
+
+/** Checks the stored records against each other. */
+internal class BillVerifyCommand : CliktCommand(name = "verify") {
+    private val platform by option(help = "Address of the object API.").default(DEFAULT_PLATFORM)
+    private val from by option(help = "First hour in UTC, yyyyMMddHH.").default("")
+    private val to by option(help = "Last hour in UTC, yyyyMMddHH.").default("")
+
+    override fun help(context: Context): String = "Fails if a request has two unlike records; counts harmless repeats."
+
+    override fun run() {
+        val statement = readStatement(platform, from, to)
+        echo(
+            "${statement.records.size} requests, ${statement.repeatedBatches} batches stored more than once, " +
+                "${statement.repeatedRequests} records repeated",
+        )
+        if (statement.conflictingRequests.isEmpty()) return
+        val listed = statement.conflictingRequests.joinToString("") { "\n  $it" }
+        throw failure(ResultCode.BILLING_CONFLICT, listed, ExitCode.CONFLICT)
+    }
+}
+
+private fun readStatement(
+    platform: String,
+    from: String,
+    to: String,
+): BillingStatement {
+    val objects =
+        BillingStore(HttpObjectStore(URI(platform))).readAll(from, to).fold(
+            { throw failure(ResultCode.PLATFORM_UNAVAILABLE, "$it", ExitCode.UNAVAILABLE) },
+            { it },
+        )
+    return BillingStatement.of(objects.asSequence())
+}
+
+/** The records as CSV with a heading, as RFC 4180 has it. */
+internal fun csv(records: List<BillingRecord>): String {
+    val heading =
+        "request,organisation,ended_at,model,service,prompt_tokens,completion_tokens,cost_micros,result_code\r\n"
+    return heading + records.joinToString("") { "${line(it)}\r\n" }
+}
+
+private fun line(record: BillingRecord): String =
+    listOf(
+        record.request,
+        record.organisation,
+        record.endedAt,
+        record.version ?: "",
+        record.service ?: "",
+        record.promptTokens,
+        record.completionTokens,
+        record.costMicros,
+        record.resultCode,
+    ).joinToString(",") { quoted("$it") }
+
+private fun quoted(text: String): String =
+    if (text.any { it in ",\"\r\n" }) "\"${text.replace("\"", "\"\"")}\"" else text
+
+private fun json(records: List<BillingRecord>): String =
+    Json.encodeToString(ListSerializer(BillingRecord.serializer()), records) + "\n"
--- a/operator/src/main/kotlin/dev/almondhaven/operator/OperatorMain.kt
+++ b/operator/src/main/kotlin/dev/almondhaven/operator/OperatorMain.kt
@@ -12,6 +12,7 @@
 public fun operatorCommand(): CliktCommand =
     OperatorCommand().subcommands(
         NoteCommand().subcommands(NoteCheckCommand(), NotePublishCommand()),
+        BillCommand(),
     )
 
 private class OperatorCommand : CliktCommand(name = "almondhaven") {
--- a/router/src/main/kotlin/dev/almondhaven/router/claim/ClaimWriters.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/claim/ClaimWriters.kt
@@ -19,6 +19,8 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import org.apache.commons.rng.simple.RandomSource
 import java.util.concurrent.CompletableFuture
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicInteger
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -34,14 +36,20 @@
     private val clock: NanoClock,
     private val wallMillis: () -> Long,
 ) : AutoCloseable {
+    private val unsettled = AtomicInteger()
     private val lanes = List(LANES) { Lane(it) }
 
+    @Volatile
+    private var closing = false
+
     /** Settles [operation] on [shard]; the future may end on any thread. */
     fun submit(
         shard: ClaimShard,
         operation: ClaimOperation,
     ): CompletableFuture<ClaimVerdict> {
         val submission = Submission(shard, operation, CompletableFuture())
+        unsettled.incrementAndGet()
+        submission.verdict.whenComplete { _, _ -> unsettled.decrementAndGet() }
         if (!lanes[shard.hashCode().mod(LANES)].duty.offer(submission)) drop(submission)
         return submission.verdict
     }
@@ -51,7 +59,13 @@
         submission.verdict.completeExceptionally(ClaimOperationDropped())
     }
 
-    override fun close(): Unit = lanes.forEach { it.duty.stop() }
+    /** Settles what waits, as far as the platform answers within a few seconds. */
+    override fun close() {
+        closing = true
+        val end = clock.nanos() + CLOSE_PATIENCE.inWholeNanoseconds
+        while (unsettled.get() > 0 && clock.nanos() - end < 0) TimeUnit.MILLISECONDS.sleep(TICK.inWholeMilliseconds)
+        lanes.forEach { it.duty.stop() }
+    }
 
     private class Submission(
         val shard: ClaimShard,
@@ -67,7 +81,7 @@
 
         private fun take(submission: Submission) {
             val shard = shards.getOrPut(submission.shard) { ActiveShard(submission.shard) }
-            if (!shard.writer.submit(submission.operation, submission.verdict)) drop(submission)
+            if (!shard.writer.submit(submission.operation, submission.verdict, clock.nanos())) drop(submission)
             shard.usedAt = clock.nanos()
             // More may wait on the ring that can share the next write.
             if (duty.waiting == 0) pumpAll()
@@ -91,7 +105,7 @@
             var goesOn = true
             while (goesOn) {
                 goesOn =
-                    when (val step = writer.next(clock.nanos(), wallMillis())) {
+                    when (val step = writer.next(clock.nanos(), wallMillis(), closing)) {
                         ShardStep.Idle, is ShardStep.Wait -> false
                         ShardStep.Read -> read()
                         is ShardStep.Write -> write(step)
@@ -142,6 +156,7 @@
         const val LANES = 4
         const val RING = 4_096
         val TICK = 20.milliseconds
+        val CLOSE_PATIENCE = 3.seconds
         val IDLE_SHARD = 20.seconds
     }
 }
--- a/router/src/main/kotlin/dev/almondhaven/router/claim/Claims.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/claim/Claims.kt
@@ -26,6 +26,11 @@
     /** Claims non-idempotent calls; stands behind admission and before the choice of an endpoint. */
     val filter: RequestFilter = ClaimFilter(peers, ledger, clock, wallMillis, settings.dispatchBound)
 
+    private val sweeper = ClaimSweeper(objects, network::view, wallMillis)
+
     /** Settles what still waits, and stops. */
-    override fun close(): Unit = writers.close()
+    override fun close() {
+        sweeper.close()
+        writers.close()
+    }
 }
