--- a/model/src/main/kotlin/dev/almondhaven/model/LogEvent.kt
+++ b/model/src/main/kotlin/dev/almondhaven/model/LogEvent.kt
@@ -44,6 +44,9 @@
     SESSION_HOLDER_SILENT(3103, Level.WARN, "No holder of a session's version answered."),
 
     ENDPOINT_ANSWER_BAD(4001, Level.WARN, "An endpoint's answer failed or could not be read."),
+    ENDPOINT_EJECTED(4002, Level.WARN, "An endpoint failed repeatedly and gets no requests for a while."),
+    ENDPOINT_COLD(4003, Level.INFO, "An endpoint is cold; it is ramped from a small limit."),
+    ANSWER_RESUMED(4004, Level.INFO, "A streamed answer goes on at another endpoint."),
 
     CLAIM_WRITE_UNSETTLED(5001, Level.WARN, "A read or write of claims failed; it is tried again."),
     CLAIM_OPERATION_DROPPED(5002, Level.WARN, "Too many claim operations wait; one was not taken."),
--- a/router/src/main/kotlin/dev/almondhaven/router/Router.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/Router.kt
@@ -7,6 +7,7 @@
 import com.linecorp.armeria.server.Server
 import com.linecorp.armeria.server.healthcheck.HealthCheckService
 import com.linecorp.armeria.server.healthcheck.HealthChecker
+import dev.almondhaven.decision.distribution.ConfigurationFreshness
 import dev.almondhaven.decision.membership.Member
 import dev.almondhaven.model.LogEvent
 import dev.almondhaven.model.NanoClock
@@ -21,19 +22,30 @@
 import dev.almondhaven.router.controller.guardedObjects
 import dev.almondhaven.router.endpoint.Dispatcher
 import dev.almondhaven.router.endpoint.EndpointClients
+import dev.almondhaven.router.endpoint.EndpointDirectory
+import dev.almondhaven.router.endpoint.LoadReportPoller
+import dev.almondhaven.router.endpoint.WaitingRoom
 import dev.almondhaven.router.filter.AdmissionFilter
+import dev.almondhaven.router.filter.ConfigurationAgeFilter
 import dev.almondhaven.router.filter.DomainServiceFilter
 import dev.almondhaven.router.filter.EndpointChoiceFilter
 import dev.almondhaven.router.filter.IdentifyFilter
 import dev.almondhaven.router.filter.ModelListFilter
 import dev.almondhaven.router.filter.ParseFilter
 import dev.almondhaven.router.filter.RequestHandler
+import dev.almondhaven.router.filter.RetryFilter
 import dev.almondhaven.router.filter.filterChain
+import dev.almondhaven.router.limit.UsageLimiter
+import dev.almondhaven.router.peer.PeerController
 import dev.almondhaven.router.peer.PeerNetwork
+import dev.almondhaven.router.peer.StatusReporter
 import dev.almondhaven.router.session.Sessions
+import dev.almondhaven.router.settings.PeerSettings
 import dev.almondhaven.router.settings.RouterSettings
 import dev.almondhaven.router.settings.socketAddress
 import io.github.oshai.kotlinlogging.KotlinLogging
+import org.apache.commons.rng.UniformRandomProvider
+import org.apache.commons.rng.simple.RandomSource
 import java.net.URI
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
@@ -56,12 +68,21 @@
     private val clock = NanoClock.SYSTEM
     private val metrics = RouterMetrics()
     private val holder = CatalogueHolder()
+    private val staleAfter = settings.peers?.staleAfter ?: PeerSettings.DEFAULT_STALE_AFTER
+    private val freshness = ConfigurationFreshness(staleAfter, clock.nanos())
     private val workers = EndpointClients.newWorkers(Runtime.getRuntime().availableProcessors())
-    private val clients = EndpointClients(workers)
+    private val clients = EndpointClients(workers, settings.endpoints.connectTimeout, settings.endpoints.pingInterval)
     private val peers = PeerNetwork.open(settings.peers, settings.process.failureDomain)
     private val objects = guardedObjects(platform, settings.platform, clock, metrics) { peers.view.members.size }
     private val sessions = Sessions(settings.sessions, peers)
-    private val watcher = ConfigurationWatcher(objects, holder, settings.platform.watchWait)
+    private val directory = EndpointDirectory(holder, peers.view, clock)
+    private val waitingRoom = WaitingRoom(clock)
+    private val limiter = UsageLimiter(holder, peers.view, clock)
+    private val loadReports = LoadReportPoller(directory, clients, clock, settings.endpoints.statusInterval)
+    private val peerController = settings.peers?.let { PeerController(peers, it, holder, freshness, clock) }
+    private val watcher =
+        ConfigurationWatcher(objects, holder, freshness, peers.view, settings.platform.watchWait, newRandom())
+    private val status = StatusReporter(peers, holder, freshness, clock, Lifecycle())
     private val billing = Billing(settings.billing, objects, clock, peers, metrics)
     private val claims = Claims(settings.claims, objects, clock, peers)
     private val choice =
@@ -77,14 +98,15 @@
     /** This router as its peers know it. */
     public val self: Member get() = peers.self
 
+    private inner class Lifecycle : StatusReporter.Lifecycle {
+        override val ready: Boolean get() = takesWork()
+        override val draining: Boolean get() = this@Router.draining
+        override val platformReachable: Boolean get() = watcher.platformReachable
+    }
+
     private fun start() {
-        metrics.gauge("almondhaven_configuration_generation", "Generation in force on this router.") {
-            holder.index.generation.value
-                .toDouble()
-        }
-        metrics.gauge("almondhaven_sessions_remembered", "Sessions known by their id that this router remembers.") {
-            sessions.remembered.toDouble()
-        }
+        addGauges()
+        peers.topics.register(limiter.gossip)
         watcher.start()
         choice.topics.forEach { peers.topics.register(it) }
         choice.start()
@@ -92,21 +114,49 @@
         LogEvent.ROUTER_STARTED.log(logger) { "port=$port domain=${settings.process.failureDomain}" }
     }
 
+    private fun addGauges() {
+        metrics.gauge("almondhaven_configuration_generation", "Generation in force on this router.") {
+            holder.generation.value.toDouble()
+        }
+        metrics.gauge("almondhaven_configuration_stale_seconds", "Time unconfirmed by the platform; 0 when fresh.") {
+            status.staleSince()?.let { (System.currentTimeMillis() - it) / MILLIS_PER_SECOND } ?: 0.0
+        }
+        metrics.gauge("almondhaven_platform_reachable", "1 if the platform answered the last configuration call.") {
+            if (watcher.platformReachable) 1.0 else 0.0
+        }
+        metrics.gauge("almondhaven_sessions_remembered", "Sessions known by their id that this router remembers.") {
+            sessions.remembered.toDouble()
+        }
+        metrics.gauge("almondhaven_peer_members", "Routers in this router's view, itself included.") {
+            peers.view.members.size
+                .toDouble()
+        }
+    }
+
     private fun chain(): RequestHandler =
         filterChain(
             listOf(
+                ConfigurationAgeFilter({ holder.generation }, status::staleSince),
                 RepeatOutcomeFilter,
                 DomainServiceFilter(holder, settings.process.failureDomain),
                 IdentifyFilter(holder),
                 ParseFilter(holder),
                 ModelListFilter(holder),
                 sessions.filter(holder),
-                AdmissionFilter(settings.requests.inFlight),
+                AdmissionFilter(settings.requests.inFlight, limiter),
                 claims.filter,
                 choice.filter(),
-                EndpointChoiceFilter(holder, settings.process.failureDomain),
+                RetryFilter(settings.endpoints, clock),
+                EndpointChoiceFilter(directory, waitingRoom, clock),
+            ),
+            Dispatcher(
+                holder,
+                choice.policy,
+                clients,
+                clock,
+                settings.endpoints.firstByteDeadline,
+                settings.claims.runLimit,
             ),
-            Dispatcher(holder, choice.policy, clients, clock, settings.claims.runLimit),
         )
 
     private fun buildServer(): Server =
@@ -142,10 +192,15 @@
     override fun close() {
         LogEvent.ROUTER_STOPPING.log(logger)
         draining = true
+        peerController?.close()
         server.stop().join()
         claims.close()
         billing.close()
         watcher.close()
+        loadReports.close()
+        waitingRoom.close()
+        limiter.close()
+        directory.close()
         peers.close()
         choice.close()
         clients.close()
@@ -159,6 +214,9 @@
     public companion object {
         private val QUIET_PERIOD: Duration = 50.milliseconds
         private val DRAIN_TIMEOUT: Duration = 30.seconds
+        private const val MILLIS_PER_SECOND = 1_000.0
+
+        private fun newRandom(): UniformRandomProvider = RandomSource.XO_RO_SHI_RO_128_PP.create()
 
         /** Starts a router against the platform that [settings] name. */
         public fun start(settings: RouterSettings): Router =
--- a/router/src/main/kotlin/dev/almondhaven/router/filter/RequestJournal.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/filter/RequestJournal.kt
@@ -30,10 +30,10 @@
 
 /** What has happened to a request so far, over all its attempts. Safe to use from any thread. */
 public class RequestJournal {
-    /** Whether a byte of the request may have reached an endpoint. */
-    @Volatile
-    public var dispatched: Boolean = false
-        private set
+    private val possiblyRun = AtomicInteger()
+
+    /** Whether a byte of any attempt of the request may have reached an endpoint. */
+    public val dispatched: Boolean get() = possiblyRun.get() > 0
 
     /** The version that gave the answer the caller gets. */
     @Volatile
@@ -60,9 +60,15 @@
         firstUseProven = true
     }
 
-    /** Notes that bytes of the request are about to be sent to an endpoint. */
+    /** Notes that bytes of an attempt are about to be sent to an endpoint. */
     public fun recordDispatch() {
-        dispatched = true
+        possiblyRun.incrementAndGet()
+    }
+
+    /** Takes one [recordDispatch] back: the connection failed before any byte of that attempt was written. */
+    public fun recordUnsent() {
+        val left = possiblyRun.decrementAndGet()
+        check(left >= 0) { "more attempts taken back than dispatched: $left" }
     }
 
     /** Notes who gives the answer. */
@@ -141,6 +147,9 @@
     private val endRecorded = AtomicBoolean()
     private val holds = AtomicInteger(1)
 
+    /** Whether the request has ended. */
+    public val hasEnded: Boolean get() = ended.isDone
+
     /** Runs [action] once the request has ended: its answer is written whole, or failed, or the caller has left. */
     public fun whenEnded(action: () -> Unit) {
         ended.thenRun { action() }
