--- a/experiments/src/main/kotlin/dev/almondhaven/experiments/Experiments.kt
+++ b/experiments/src/main/kotlin/dev/almondhaven/experiments/Experiments.kt
@@ -1,11 +1,8 @@
 package dev.almondhaven.experiments
 
-<<<<<<< HEAD
 import dev.almondhaven.experiments.claims.ClaimsExperiment
-=======
 import dev.almondhaven.experiments.distribution.DistributionExperiment
 import dev.almondhaven.experiments.distribution.MembershipExperiment
->>>>>>> main
 import dev.almondhaven.experiments.overhead.OverheadExperiment
 
 /** Every experiment that `bin/measure` knows. */
@@ -14,11 +11,8 @@
     public val ALL: List<Experiment> =
         listOf(
             OverheadExperiment(),
-<<<<<<< HEAD
             ClaimsExperiment(),
-=======
             MembershipExperiment(),
             DistributionExperiment(),
->>>>>>> main
         )
 }
--- a/operator/src/main/kotlin/dev/almondhaven/operator/OperatorMain.kt
+++ b/operator/src/main/kotlin/dev/almondhaven/operator/OperatorMain.kt
@@ -11,12 +11,6 @@
 
 /** The whole command tree of the operators' command line. */
 public fun operatorCommand(): CliktCommand =
-<<<<<<< HEAD
-    OperatorCommand().subcommands(
-        NoteCommand().subcommands(NoteCheckCommand(), NotePublishCommand()),
-        BillCommand(),
-    )
-=======
     OperatorCommand()
         .completionOption(help = "Prints a completion script for bash, zsh or fish.")
         .subcommands(
@@ -27,10 +21,10 @@
                 NoteHistoryCommand(),
             ),
             DomainCommand().subcommands(DomainTakeOutCommand(), DomainReturnCommand()),
+            BillCommand(),
             AuditCommand(),
             ExplainCommand(),
         )
->>>>>>> main
 
 private class OperatorCommand : CliktCommand(name = "almondhaven") {
     override fun help(context: Context): String =
