--- a/router/src/test/kotlin/dev/almondhaven/router/TestDeployment.kt
+++ b/router/src/test/kotlin/dev/almondhaven/router/TestDeployment.kt
@@ -17,6 +17,7 @@
 import dev.almondhaven.model.ModelVersionId
 import dev.almondhaven.platform.ConfigurationStore
 import dev.almondhaven.platform.InMemoryObjectStore
+import dev.almondhaven.platform.ObjectStore
 import dev.almondhaven.platform.Publisher
 import dev.almondhaven.router.settings.EndpointSettings
 import dev.almondhaven.router.settings.PlatformSettings
@@ -35,6 +36,7 @@
     behaviour: EngineBehaviour = EngineBehaviour(),
     moreEngines: Int = 0,
     endpointSettings: EndpointSettings = EndpointSettings(),
+    platformOf: (ObjectStore) -> ObjectStore = { it },
 ) : AutoCloseable {
     val objects = InMemoryObjectStore()
     val engine = EngineStandIn(behaviour)
@@ -53,7 +55,7 @@
             sessions = SessionSettings(keys = listOf(SessionKeySetting("test", "x".repeat(32)))),
             endpoints = endpointSettings,
         )
-    val router = Router.start(settings, objects)
+    val router = Router.start(settings, platformOf(objects))
     val client: WebClient = WebClient.of("http://127.0.0.1:${router.port}")
 
     /** Publishes the note and waits until it is in force. */
--- a/stand-ins/src/main/kotlin/dev/almondhaven/standins/ServiceStandIn.kt
+++ b/stand-ins/src/main/kotlin/dev/almondhaven/standins/ServiceStandIn.kt
@@ -11,6 +11,8 @@
 import kotlinx.serialization.json.JsonPrimitive
 import kotlinx.serialization.json.buildJsonObject
 import java.util.concurrent.ConcurrentLinkedQueue
+import kotlin.time.Duration
+import kotlin.time.toJavaDuration
 
 /**
  * A small stand-in for an order or booking service: answers any call with its own count of it and records every run.
@@ -19,6 +21,10 @@
     private val startedAt = System.currentTimeMillis()
     private val recorded = ConcurrentLinkedQueue<EngineRecord>()
 
+    /** How long an answer takes after the call has run. */
+    @Volatile
+    public var answerDelay: Duration = Duration.ZERO
+
     /** Calls that ran so far. */
     public val records: List<EngineRecord> get() = recorded.toList()
 
@@ -53,7 +59,8 @@
                         put("key", JsonPrimitive(key))
                         put("number", JsonPrimitive(recorded.size))
                     }
-                HttpResponse.of(HttpStatus.OK, MediaType.JSON, body.toString())
+                val answer = HttpResponse.of(HttpStatus.OK, MediaType.JSON, body.toString())
+                if (answerDelay.isPositive()) HttpResponse.delayed(answer, answerDelay.toJavaDuration()) else answer
             },
         )
 
