--- a/experiments/src/main/kotlin/dev/almondhaven/experiments/Experiments.kt
+++ b/experiments/src/main/kotlin/dev/almondhaven/experiments/Experiments.kt
@@ -1,6 +1,8 @@
 package dev.almondhaven.experiments
 
+import dev.almondhaven.experiments.capacity.RouterCostExperiment
 import dev.almondhaven.experiments.claims.ClaimsExperiment
+import dev.almondhaven.experiments.deployment.DeploymentsExperiment
 import dev.almondhaven.experiments.distribution.DistributionExperiment
 import dev.almondhaven.experiments.distribution.MembershipExperiment
 import dev.almondhaven.experiments.overhead.OverheadExperiment
@@ -14,5 +16,7 @@
             ClaimsExperiment(),
             MembershipExperiment(),
             DistributionExperiment(),
+            DeploymentsExperiment(),
+            RouterCostExperiment(),
         )
 }
--- a/operator/src/main/kotlin/dev/almondhaven/operator/BillCommands.kt
+++ b/operator/src/main/kotlin/dev/almondhaven/operator/BillCommands.kt
@@ -3,6 +3,7 @@
 import com.github.ajalt.clikt.core.CliktCommand
 import com.github.ajalt.clikt.core.Context
 import com.github.ajalt.clikt.core.subcommands
+import com.github.ajalt.clikt.parameters.groups.provideDelegate
 import com.github.ajalt.clikt.parameters.options.default
 import com.github.ajalt.clikt.parameters.options.option
 import com.github.ajalt.clikt.parameters.types.choice
@@ -10,10 +11,9 @@
 import dev.almondhaven.decision.billing.BillingStatement
 import dev.almondhaven.model.ResultCode
 import dev.almondhaven.platform.BillingStore
-import dev.almondhaven.platform.HttpObjectStore
+import dev.almondhaven.platform.ObjectStore
 import kotlinx.serialization.builtins.ListSerializer
 import kotlinx.serialization.json.Json
-import java.net.URI
 
 /** Groups the commands that read billing records. */
 internal class BillCommand : CliktCommand(name = "bill") {
@@ -28,7 +28,7 @@
 
 /** Prints one record for each request. */
 internal class BillExportCommand : CliktCommand(name = "export") {
-    private val platform by option(help = "Address of the object API.").default(DEFAULT_PLATFORM)
+    private val platform by PlatformOptions()
     private val from by option(help = "First hour in UTC, yyyyMMddHH.").default("")
     private val to by option(help = "Last hour in UTC, yyyyMMddHH.").default("")
     private val format by option(help = "Format of the output.").choice("csv", "json").default("csv")
@@ -36,21 +36,21 @@
     override fun help(context: Context): String = "Prints each billed request once, whatever was stored twice."
 
     override fun run() {
-        val records = readStatement(platform, from, to).records
+        val records = readStatement(platform.objects, from, to).records
         echo(if (format == "csv") csv(records) else json(records), trailingNewline = false)
     }
 }
 
 /** Checks the stored records against each other. */
 internal class BillVerifyCommand : CliktCommand(name = "verify") {
-    private val platform by option(help = "Address of the object API.").default(DEFAULT_PLATFORM)
+    private val platform by PlatformOptions()
     private val from by option(help = "First hour in UTC, yyyyMMddHH.").default("")
     private val to by option(help = "Last hour in UTC, yyyyMMddHH.").default("")
 
     override fun help(context: Context): String = "Fails if a request has two unlike records; counts harmless repeats."
 
     override fun run() {
-        val statement = readStatement(platform, from, to)
+        val statement = readStatement(platform.objects, from, to)
         echo(
             "${statement.records.size} requests, ${statement.repeatedBatches} batches stored more than once, " +
                 "${statement.repeatedRequests} records repeated",
@@ -62,16 +62,16 @@
 }
 
 private fun readStatement(
-    platform: String,
+    objects: ObjectStore,
     from: String,
     to: String,
 ): BillingStatement {
-    val objects =
-        BillingStore(HttpObjectStore(URI(platform))).readAll(from, to).fold(
+    val stored =
+        BillingStore(objects).readAll(from, to).fold(
             { throw failure(ResultCode.PLATFORM_UNAVAILABLE, "$it", ExitCode.UNAVAILABLE) },
             { it },
         )
-    return BillingStatement.of(objects.asSequence())
+    return BillingStatement.of(stored.asSequence())
 }
 
 /** The records as CSV with a heading, as RFC 4180 has it. */
--- a/router/src/main/kotlin/dev/almondhaven/router/settings/RouterSettings.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/settings/RouterSettings.kt
@@ -75,6 +75,7 @@
     public val claims: ClaimSettings = ClaimSettings(),
     public val billing: BillingSettings = BillingSettings(),
     public val peers: PeerSettings? = null,
+    public val engineOrders: EngineOrderSettings = EngineOrderSettings(),
     public val choice: ChoiceSettings = ChoiceSettings(),
 ) {
     /** Everything that is wrong with the values themselves. */
@@ -104,6 +105,7 @@
             addAll(sessions.problems())
             addAll(endpoints.problems())
             peers?.let { addAll(it.problems()) }
+            addAll(engineOrders.problems())
         }
 
     public companion object {
