--- a/decision/src/main/kotlin/dev/almondhaven/decision/choice/EvidencePool.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/choice/EvidencePool.kt
@@ -34,6 +34,8 @@
 ) {
     private val open = HashMap<EvidenceCell, Tally>()
     private val fleet = HashMap<EvidenceSubject, TreeMap<Long, Tally>>()
+    private val arrivals = HashMap<EvidenceSubject, Tally>()
+    private val ownArrivals = HashMap<EvidenceSubject, Tally>()
     private val untold = LinkedHashMap<EvidenceCell, Int>()
     private var firstOpenBucket = 0L
 
@@ -43,6 +45,12 @@
     /** The fleet's evidence; it changes along with the pool. */
     public val totals: EvidenceTotals = EvidenceTotals(fleet)
 
+    /** Everything that has come in by subject, whatever its bucket. */
+    public val arrived: Map<EvidenceSubject, Tally> get() = arrivals
+
+    /** What this router has counted itself by subject, whatever its bucket. */
+    public val ownArrived: Map<EvidenceSubject, Tally> get() = ownArrivals
+
     /** Changes this router's own tally of [subject] in the bucket of [epochMillis]. */
     public fun record(
         subject: EvidenceSubject,
@@ -77,15 +85,28 @@
         val oldest = first - KEPT_BUCKETS
         fleet.values.forEach { it.headMap(oldest).clear() }
         fleet.values.removeIf { it.isEmpty() }
+        arrivals.keys.retainAll(fleet.keys)
+        ownArrivals.keys.retainAll(fleet.keys)
     }
 
     /** Up to [count] cells to tell a peer, those that changed longest ago first, [urgent] ones before the rest. */
     public fun nextToTell(
         count: Int,
-        urgent: (EvidenceSubject) -> Boolean = { false },
+        urgent: (EvidenceSubject) -> Boolean = { true },
     ): List<Pair<EvidenceCell, Tally>> {
-        val first = untold.keys.filter { urgent(it.subject) }.take(count)
-        val rest = untold.keys.filterNot { urgent(it.subject) }.take(count - first.size)
+        val first =
+            untold.keys
+                .asSequence()
+                .filter { urgent(it.subject) }
+                .take(count)
+                .toList()
+        val missing = count - first.size
+        val rest =
+            untold.keys
+                .asSequence()
+                .filterNot { urgent(it.subject) }
+                .take(missing)
+                .toList()
         val chosen = first + rest
         chosen.forEach { told(it) }
         return chosen.mapNotNull { cell -> open[cell]?.let { cell to it } }
@@ -97,6 +118,8 @@
     ) {
         val grown = tally - (open.put(cell, tally) ?: Tally.EMPTY)
         fleet.getOrPut(cell.subject) { TreeMap() }.merge(cell.bucket, grown) { left, right -> left + right }
+        arrivals.merge(cell.subject, grown) { left, right -> left + right }
+        if (cell.origin == self) ownArrivals.merge(cell.subject, grown) { left, right -> left + right }
         untold.putIfAbsent(cell, TELLINGS)
         untold.replace(cell, TELLINGS)
     }
--- a/experiments/src/main/kotlin/dev/almondhaven/experiments/Experiments.kt
+++ b/experiments/src/main/kotlin/dev/almondhaven/experiments/Experiments.kt
@@ -1,7 +1,10 @@
 package dev.almondhaven.experiments
 
 import dev.almondhaven.experiments.capacity.RouterCostExperiment
+import dev.almondhaven.experiments.choice.ModelChoiceExperiment
 import dev.almondhaven.experiments.claims.ClaimsExperiment
+import dev.almondhaven.experiments.configuration.PublishingExperiment
+import dev.almondhaven.experiments.configuration.SessionExperiment
 import dev.almondhaven.experiments.deployment.DeploymentsExperiment
 import dev.almondhaven.experiments.distribution.DistributionExperiment
 import dev.almondhaven.experiments.distribution.MembershipExperiment
@@ -14,9 +17,12 @@
         listOf(
             OverheadExperiment(),
             ClaimsExperiment(),
+            PublishingExperiment(),
+            SessionExperiment(),
             MembershipExperiment(),
             DistributionExperiment(),
             DeploymentsExperiment(),
             RouterCostExperiment(),
+            ModelChoiceExperiment(),
         )
 }
--- a/router/src/main/kotlin/dev/almondhaven/router/Router.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/Router.kt
@@ -9,6 +9,7 @@
 import com.linecorp.armeria.server.healthcheck.HealthChecker
 import dev.almondhaven.decision.distribution.ConfigurationFreshness
 import dev.almondhaven.decision.membership.Member
+import dev.almondhaven.decision.rollout.RollOutReport
 import dev.almondhaven.model.LogEvent
 import dev.almondhaven.model.NanoClock
 import dev.almondhaven.platform.HttpObjectStore
@@ -112,6 +113,7 @@
         watcher.start()
         engineOrders.start()
         choice.topics.forEach { peers.topics.register(it) }
+        peers.handlers.register(RollOutReport.PEER_PATH, choice.reporting)
         choice.start()
         server.start().join()
         LogEvent.ROUTER_STARTED.log(logger) { "port=$port domain=${settings.process.failureDomain}" }
--- a/router/src/main/kotlin/dev/almondhaven/router/billing/BillingTap.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/billing/BillingTap.kt
@@ -2,9 +2,11 @@
 
 import dev.almondhaven.billing.BillingRecord
 import dev.almondhaven.catalogue.Price
+import dev.almondhaven.model.ModelVersionId
 import dev.almondhaven.model.ServiceId
 import dev.almondhaven.router.controller.CatalogueHolder
 import dev.almondhaven.router.filter.Exchange
+import dev.almondhaven.router.filter.RequestStep
 import dev.almondhaven.router.filter.Usage
 import kotlin.math.roundToLong
 
@@ -21,20 +23,23 @@
         val journal = exchange.journal
         val organisation = journal.organisation ?: return null
         if (!journal.dispatched) return null
-        val price = journal.servedVersion?.let { holder.index.version(it)?.price }
+        val served = RequestStep(journal.servedVersion, journal.servedEndpoint, journal.usage)
+        val steps = journal.discardedSteps + served
         return BillingRecord(
             exchange.requestId,
             organisation,
             endedAt = wallMillis(),
             version = journal.servedVersion,
             service = serviceOf(exchange),
-            promptTokens = journal.usage?.promptTokens ?: 0,
-            completionTokens = journal.usage?.completionTokens ?: 0,
-            costMicros = cost(price, journal.usage),
+            promptTokens = steps.sumOf { it.usage?.promptTokens ?: 0 },
+            completionTokens = steps.sumOf { it.usage?.completionTokens ?: 0 },
+            costMicros = steps.sumOf { cost(it.version?.let(::priceOf), it.usage) },
             resultCode = journal.refusal?.code?.number ?: 0,
         )
     }
 
+    private fun priceOf(version: ModelVersionId): Price? = holder.index.version(version)?.price
+
     private fun serviceOf(exchange: Exchange): ServiceId? {
         if (!exchange.path.startsWith(SERVICE_PREFIX)) return null
         return ServiceId(
--- a/router/src/main/kotlin/dev/almondhaven/router/filter/RequestJournal.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/filter/RequestJournal.kt
@@ -15,8 +15,8 @@
     public val completionTokens: Long,
 )
 
-/** A step of a request that ran, but whose answer the caller doesn't get; it is billed all the same. */
-public data class DiscardedStep(
+/** One run of a request on one version: a request has one, or two if a cascade escalated. Each is billed. */
+public data class RequestStep(
     public val version: ModelVersionId?,
     public val endpoint: EndpointId?,
     public val usage: Usage?,
@@ -121,13 +121,13 @@
 
     /** Earlier steps of a cascade whose answers the caller doesn't get. */
     @Volatile
-    public var discardedSteps: List<DiscardedStep> = emptyList()
+    public var discardedSteps: List<RequestStep> = emptyList()
         private set
 
     /** Notes that the caller won't get the answer recorded last. */
     @Synchronized
     public fun discardStep() {
-        discardedSteps = discardedSteps + DiscardedStep(servedVersion, servedEndpoint, usage)
+        discardedSteps = discardedSteps + RequestStep(servedVersion, servedEndpoint, usage)
         servedVersion = null
         servedEndpoint = null
         usage = null
