--- a/experiments/src/main/kotlin/dev/almondhaven/experiments/Experiments.kt
+++ b/experiments/src/main/kotlin/dev/almondhaven/experiments/Experiments.kt
@@ -2,6 +2,7 @@
 
 import dev.almondhaven.experiments.capacity.RouterCostExperiment
 import dev.almondhaven.experiments.choice.ModelChoiceExperiment
+import dev.almondhaven.experiments.claims.ClaimsExperiment
 import dev.almondhaven.experiments.configuration.PublishingExperiment
 import dev.almondhaven.experiments.configuration.SessionExperiment
 import dev.almondhaven.experiments.deployment.DeploymentsExperiment
@@ -18,6 +19,7 @@
     public val ALL: List<Experiment> =
         listOf(
             OverheadExperiment(),
+            ClaimsExperiment(),
             PublishingExperiment(),
             SessionExperiment(),
             ServingExperiment(),
--- a/operator/src/main/kotlin/dev/almondhaven/operator/OperatorMain.kt
+++ b/operator/src/main/kotlin/dev/almondhaven/operator/OperatorMain.kt
@@ -21,6 +21,7 @@
                 NoteHistoryCommand(),
             ),
             DomainCommand().subcommands(DomainTakeOutCommand(), DomainReturnCommand()),
+            BillCommand(),
             AuditCommand(),
             StatusCommand(),
             ExplainCommand(),
