--- a/decision/src/main/kotlin/dev/almondhaven/decision/billing/BillingOutbox.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/billing/BillingOutbox.kt
@@ -18,7 +18,7 @@
 public data class OutboxLimits(
     public val records: Int = 60_000,
     public val batchRecords: Int = 500,
-    public val sealAfter: Duration = 250.milliseconds,
+    public val sealAfter: Duration = 20.milliseconds,
     public val resendAfter: Duration = 5.seconds,
     public val longestResend: Duration = 60.seconds,
 )
--- a/router/src/main/kotlin/dev/almondhaven/router/billing/Billing.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/billing/Billing.kt
@@ -210,7 +210,7 @@
         const val BATCHES_AT_ONCE = 64
         const val RELEASED_AT_ONCE = 16
         const val MOST_ASKERS = 20_000
-        val TICK = 50.milliseconds
+        val TICK = 10.milliseconds
         val CLOSE_PATIENCE = 3_000.milliseconds
     }
 }
--- a/router/src/main/kotlin/dev/almondhaven/router/claim/ClaimWriters.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/claim/ClaimWriters.kt
@@ -99,6 +99,7 @@
         val writer =
             ShardWriter<CompletableFuture<ClaimVerdict>>(limits, RandomSource.XO_RO_SHI_RO_128_PP.create())
         var usedAt = clock.nanos()
+        private var loggedAt: Long? = null
         private val key = ObjectKey(shard.value)
 
         fun pump() {
@@ -133,6 +134,14 @@
             return false
         }
 
+        /** Logs the first failure and then one an interval, since an outage repeats it many times a second. */
+        private fun logUnsettled(error: PlatformError) {
+            val last = loggedAt
+            if (last != null && clock.elapsed(last) < LOG_INTERVAL) return
+            loggedAt = clock.nanos()
+            LogEvent.CLAIM_WRITE_UNSETTLED.log(logger) { "shard=$key error=$error" }
+        }
+
         private fun failed(error: PlatformError): Boolean {
             when (error) {
                 PlatformError.ConditionFailed -> {
@@ -144,7 +153,7 @@
                 }
 
                 else -> {
-                    LogEvent.CLAIM_WRITE_UNSETTLED.log(logger) { "shard=$key error=$error" }
+                    logUnsettled(error)
                     writer.onFailure(clock.nanos())
                 }
             }
@@ -153,6 +162,7 @@
     }
 
     private companion object {
+        val LOG_INTERVAL = 10.seconds
         const val LANES = 4
         const val RING = 4_096
         val TICK = 20.milliseconds
