Send waiting billing batches again as soon as the platform stores anything; call endpoints on the caller's event loop

The batches waited out a pause that doubles to 60 s. Change: when the platform stores something, batches that wait longer than 10 s are due at once; test added.

--- a/decision/src/main/kotlin/dev/almondhaven/decision/billing/BillingOutbox.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/billing/BillingOutbox.kt
@@ -18,7 +18,7 @@
 public data class OutboxLimits(
     public val records: Int = 60_000,
     public val batchRecords: Int = 500,
-    public val sealAfter: Duration = 20.milliseconds,
+    public val sealAfter: Duration = 250.milliseconds,
     public val resendAfter: Duration = 5.seconds,
     public val longestResend: Duration = 60.seconds,
 )
@@ -134,6 +134,14 @@
         return true
     }
 
+    /** Makes every waiting batch due at [now]: the platform has just stored something, so an outage is over. */
+    public fun resendNow(now: Long) {
+        unstored.values.filter { it.pause > limits.resendAfter * 2 }.forEach {
+            it.sendAt = now
+            it.pause = limits.resendAfter
+        }
+    }
+
     /** Batches that the platform doesn't hold yet. */
     public val unstoredBatches: Int get() = unstored.size
 }
--- a/decision/src/test/kotlin/dev/almondhaven/decision/billing/BillingPropertyTest.kt
+++ b/decision/src/test/kotlin/dev/almondhaven/decision/billing/BillingPropertyTest.kt
@@ -83,6 +83,20 @@
 
     @Nested
     inner class `an outbox` {
+        @Test
+        fun `that waits long between tries sends again as soon as the platform stores anything`() {
+            val outbox = BillingOutbox(RouterId("a"))
+            outbox.add(record("one"), now = 0)
+            val batch = outbox.seal(now = 0, wallMillis = 1, force = true)!!
+            val tries = listOf(0L, 5L, 15L, 35L).map { outbox.due(it * SECOND, most = 1).size }
+            val before = outbox.due(40 * SECOND, most = 1)
+
+            outbox.resendNow(40 * SECOND)
+
+            expectThat(tries to before).isEqualTo(listOf(1, 1, 1, 1) to emptyList())
+            expectThat(outbox.due(40 * SECOND, most = 1)).isEqualTo(listOf(batch))
+        }
+
         @Test
         fun `keeps an hour of records at the two-year rate and states what overflows`() {
             val outbox = BillingOutbox(RouterId("a"))
@@ -94,5 +108,6 @@
 
     private companion object {
         const val SCHEDULES = 2_000L
+        const val SECOND = 1_000_000_000L
     }
 }
--- a/experiments/src/main/kotlin/dev/almondhaven/experiments/overhead/OverheadExperiment.kt
+++ b/experiments/src/main/kotlin/dev/almondhaven/experiments/overhead/OverheadExperiment.kt
@@ -86,7 +86,7 @@
         address: String,
         concurrency: Int,
     ): LoadResult {
-        ClientFactory.builder().build().use { factory ->
+        ClientFactory.builder().maxNumEventLoopsPerEndpoint(LOAD_EVENT_LOOPS).build().use { factory ->
             val client = WebClient.builder("http://$address").factory(factory).build()
             val load = ClosedLoopLoad(client) { shortRequest() }
             load.run(WARM_UP, concurrency)
@@ -180,6 +180,7 @@
     private companion object {
         const val TOKEN = "measure-token"
         const val TOKENS = 4
+        const val LOAD_EVENT_LOOPS = 4
         const val BODY = """{"model":"auto","max_tokens":4,"messages":[{"role":"user","content":"Which slate?"}]}"""
         const val MEDIAN = 50.0
         const val TAIL = 99.0
--- a/router/src/main/kotlin/dev/almondhaven/router/billing/Billing.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/billing/Billing.kt
@@ -76,13 +76,18 @@
     private fun take(message: BillingMessage) {
         when (message) {
             is BillingMessage.Ended -> if (!outbox.add(message.record, clock.nanos())) overflowed(message.record)
-            is BillingMessage.Stored -> message.names.forEach { if (outbox.stored(it)) released += it }
+            is BillingMessage.Stored -> stored(message)
             is BillingMessage.Held -> holdCopies(message.message)
             is BillingMessage.Copied -> copied(message)
             BillingMessage.Flush -> seal(force = true)
         }
     }
 
+    private fun stored(message: BillingMessage.Stored) {
+        message.names.forEach { if (outbox.stored(it)) released += it }
+        outbox.resendNow(clock.nanos())
+    }
+
     private fun holdCopies(message: HoldCopies) {
         copies.release(message.released)
         message.batches.forEach { copies.hold(it) }
@@ -210,7 +215,7 @@
         const val BATCHES_AT_ONCE = 64
         const val RELEASED_AT_ONCE = 16
         const val MOST_ASKERS = 20_000
-        val TICK = 10.milliseconds
+        val TICK = 50.milliseconds
         val CLOSE_PATIENCE = 3_000.milliseconds
     }
 }
--- a/router/src/main/kotlin/dev/almondhaven/router/endpoint/Dispatcher.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/endpoint/Dispatcher.kt
@@ -6,18 +6,14 @@
 import com.linecorp.armeria.client.UnprocessedRequestException
 import com.linecorp.armeria.common.AggregatedHttpResponse
 import com.linecorp.armeria.common.ClosedSessionException
-import com.linecorp.armeria.common.HttpData
-import com.linecorp.armeria.common.HttpMethod
 import com.linecorp.armeria.common.HttpRequest
 import com.linecorp.armeria.common.HttpResponse
 import com.linecorp.armeria.common.HttpStatus
 import com.linecorp.armeria.common.HttpStatusClass
 import com.linecorp.armeria.common.MediaType
-import com.linecorp.armeria.common.RequestHeaders
 import com.linecorp.armeria.common.ResponseHeaders
 import com.linecorp.armeria.common.SplitHttpResponse
 import com.linecorp.armeria.common.logging.RequestLogProperty
-import dev.almondhaven.decision.limit.Priority
 import dev.almondhaven.model.LogEvent
 import dev.almondhaven.model.NanoClock
 import dev.almondhaven.model.Refusal
@@ -28,7 +24,6 @@
 import dev.almondhaven.router.filter.Call
 import dev.almondhaven.router.filter.Exchange
 import dev.almondhaven.router.filter.RequestHandler
-import dev.almondhaven.router.filter.RequestPriority
 import dev.almondhaven.router.filter.VersionPolicy
 import dev.almondhaven.router.filter.completed
 import io.github.oshai.kotlinlogging.KotlinLogging
@@ -80,7 +75,7 @@
         if (gate != null && !gate.tryPass()) {
             return refused(exchange, ResultCode.CLAIM_BOUND_PASSED, "the claim may no longer be dispatched")
         }
-        val request = requestFor(exchange)
+        val request = EndpointRequests.of(exchange)
         exchange.journal.recordDispatch()
         val response = execute(exchange, request, options)
         if (exchange.call.idempotent) exchange.journal.whenEnded { response.abort() }
@@ -103,53 +98,6 @@
             response
         }
 
-    private fun requestFor(exchange: Exchange): HttpRequest =
-        when (val call = exchange.call) {
-            is Call.Model -> modelRequest(exchange, call)
-            is Call.Service -> serviceRequest(exchange, call)
-            Call.ModelList -> error("a model list is not dispatched")
-        }
-
-    private fun modelRequest(
-        exchange: Exchange,
-        call: Call.Model,
-    ): HttpRequest {
-        val version = checkNotNull(exchange.version) { "no version chosen: ${exchange.requestId}" }
-        val fields = LinkedHashMap(call.body)
-        fields["model"] = JsonPrimitive(version.id.toString())
-        RequestPriority.of(exchange).takeIf { it != Priority.NORMAL }?.let {
-            fields["priority"] =
-                JsonPrimitive(it.engineValue)
-        }
-        if (call.streamed) {
-            fields["stream_options"] = INCLUDE_USAGE
-            // A replayed answer is the same one only if the engine draws the same random numbers.
-            fields.putIfAbsent("seed", JsonPrimitive(exchange.requestId.hashCode()))
-        }
-        val headers =
-            RequestHeaders
-                .builder(HttpMethod.POST, call.path)
-                .contentType(MediaType.JSON)
-                .set(REQUEST_ID, exchange.requestId.value)
-                .set(ORGANISATION, exchange.organisation.id.value)
-        if (exchange.resumeAfter > 0) headers.setLong(RESUME_AFTER, exchange.resumeAfter)
-        return HttpRequest.of(headers.build(), HttpData.ofUtf8(JsonObject(fields).toString()))
-    }
-
-    private fun serviceRequest(
-        exchange: Exchange,
-        call: Call.Service,
-    ): HttpRequest {
-        val headers =
-            RequestHeaders
-                .builder(exchange.method, call.path)
-                .set(REQUEST_ID, exchange.requestId.value)
-                .set(ORGANISATION, exchange.organisation.id.value)
-        exchange.headers.contentType()?.let { headers.contentType(it) }
-        exchange.headers.get(IDEMPOTENCY_KEY)?.let { headers.set(IDEMPOTENCY_KEY, it) }
-        return HttpRequest.of(headers.build(), exchange.body)
-    }
-
     private fun readWhole(
         exchange: Exchange,
         response: HttpResponse,
@@ -302,16 +250,9 @@
         const val DEFAULT_ANSWER_TOKENS = 1_000
         val WHOLE_ANSWER_TOKEN_ALLOWANCE = 100.milliseconds
         val DEFAULT_RUN_LIMIT = 5.minutes
-        const val REQUEST_ID = "x-request-id"
-        const val ORGANISATION = "x-organisation"
-        const val IDEMPOTENCY_KEY = "idempotency-key"
-
-        /** Sequence number of the last frame the caller has; an engine that can resume begins behind it. */
-        const val RESUME_AFTER = "x-resume-after"
 
         /** The engine's word that its answer begins behind this sequence number. */
         const val RESUMED_AFTER = "x-resumed-after"
         val OVERLOAD_STATUSES = setOf(HttpStatus.TOO_MANY_REQUESTS, HttpStatus.SERVICE_UNAVAILABLE)
-        val INCLUDE_USAGE = JsonObject(mapOf("include_usage" to JsonPrimitive(true)))
     }
 }
--- a/router/src/main/kotlin/dev/almondhaven/router/endpoint/EndpointClients.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/endpoint/EndpointClients.kt
@@ -23,6 +23,7 @@
         ClientFactory
             .builder()
             .workerGroup(workers, false)
+            .eventLoopSchedulerFactory { SameEventLoopScheduler(it) }
             .connectTimeoutMillis(connectTimeout.inWholeMilliseconds)
             .pingIntervalMillis(pingInterval.inWholeMilliseconds)
             .idleTimeoutMillis(0)
