--- a/router/src/test/kotlin/dev/almondhaven/router/peer/FleetTest.kt
+++ b/router/src/test/kotlin/dev/almondhaven/router/peer/FleetTest.kt
@@ -144,6 +144,8 @@
     fun `bring a published note in force where the platform is out of reach, and know it is confirmed`() {
         val generation = publish("west")
         eventually("generation $generation") { routers.all { it.status().generation == generation } }
+        // The configuration may come from the peer before the first call to the platform has failed.
+        eventually("a failed call to the platform") { !cutOff.status().platformReachable }
 
         val status = cutOff.status()
         expectThat(status.copy(members = emptyList(), inForceSince = null)).isEqualTo(
