Store every waiting billing batch before a router ends

Cause: routers of one failure domain that stop at the same moment lost records. The router that writes for the domain closed its writer as soon as its own outbox was empty, with other routers' batches still waiting in it; those routers ask again only after 5 s, longer than the 3 s they wait at the stop. Ruled out by reading: loss in the writer's ring (it is drained at the stop), a repeated write (same name, no effect). Change: the writer writes what it has taken before it ends; a router that stops sends all it holds through its own writer. BillingWriterTest fails before (nothing stored), passes after.

--- a/decision/src/main/kotlin/dev/almondhaven/decision/billing/BillingOutbox.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/billing/BillingOutbox.kt
@@ -142,6 +142,6 @@
         }
     }
 
-    /** Batches that the platform doesn't hold yet. */
-    public val unstoredBatches: Int get() = unstored.size
+    /** Makes every batch due at [now], whenever it was last sent. */
+    public fun makeAllDue(now: Long): Unit = unstored.values.forEach { it.sendAt = now }
 }
--- a/router/src/main/kotlin/dev/almondhaven/router/billing/Billing.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/billing/Billing.kt
@@ -48,6 +48,9 @@
     private val released = ArrayList<BatchName>()
     private val asked = HashSet<BatchName>()
     private val writer = BillingWriter(BillingStore(objects), settings.writeInterval, settings.records, ::stored)
+
+    /** Touched by the duty's thread only. */
+    private var closing = false
     private val duty = DutyThread.start("billing", RING, TICK, ::tick, ::take)
 
     init {
@@ -79,7 +82,7 @@
             is BillingMessage.Stored -> stored(message)
             is BillingMessage.Held -> holdCopies(message.message)
             is BillingMessage.Copied -> copied(message)
-            BillingMessage.Flush -> seal(force = true)
+            BillingMessage.Flush -> flush()
         }
     }
 
@@ -88,6 +91,13 @@
         outbox.resendNow(clock.nanos())
     }
 
+    /** Stores everything by this router itself: the router that writes for the failure domain may be stopping too. */
+    private fun flush() {
+        closing = true
+        seal(force = true)
+        outbox.makeAllDue(clock.nanos())
+    }
+
     private fun holdCopies(message: HoldCopies) {
         copies.release(message.released)
         message.batches.forEach { copies.hold(it) }
@@ -141,7 +151,7 @@
     private fun sendToWriter(batch: SealedBatch) {
         val members = network.view.membersOf(network.self.failureDomain)
         val chosen = RendezvousHash.choose("billing-writer", members, 1) { it.id.value }.firstOrNull()
-        if (chosen == null || chosen.id == network.self.id) {
+        if (closing || chosen == null || chosen.id == network.self.id) {
             writer.offer(batch)
         } else {
             post(chosen, STORE_PATH, StoreBatch(network.self, batch), StoreBatch.serializer())
@@ -201,12 +211,14 @@
         val end = clock.nanos() + CLOSE_PATIENCE.inWholeNanoseconds
         do {
             TimeUnit.MILLISECONDS.sleep(TICK.inWholeMilliseconds)
-        } while ((outbox.held > 0 || duty.waiting > 0) && clock.nanos() - end < 0)
+        } while (unsettled() && clock.nanos() - end < 0)
         if (outbox.held > 0) LogEvent.BILLING_LEFT_UNSTORED.log(logger) { "records=${outbox.held}" }
         duty.stop()
         writer.close()
     }
 
+    private fun unsettled(): Boolean = outbox.held > 0 || duty.waiting > 0 || writer.unwritten > 0
+
     private companion object {
         const val HOLD_PATH = "billing/hold"
         const val STORE_PATH = "billing/store"
--- a/router/src/main/kotlin/dev/almondhaven/router/billing/BillingWriter.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/billing/BillingWriter.kt
@@ -25,16 +25,29 @@
     private val waiting = LinkedHashMap<BatchName, SealedBatch>()
     private var underWay: List<SealedBatch> = emptyList()
     private var waitingRecords = 0
+
+    @Volatile
+    private var unwrittenBatches = 0
     private val duty = DutyThread.start("billing-store", RING, writeInterval, ::write, ::take)
 
     /** Stores [batch] some time; false if it was not taken. */
     fun offer(batch: SealedBatch): Boolean = duty.offer(batch)
 
-    override fun close(): Unit = duty.stop()
+    /** Batches that were taken and are not stored yet. */
+    val unwritten: Int get() = unwrittenBatches + duty.waiting
+
+    /** Writes what was taken before it ends, other routers' batches too: they may stop before they ask again. */
+    override fun close() {
+        duty.stop()
+        do {
+            write()
+        } while (waiting.isNotEmpty() && underWay.isEmpty())
+    }
 
     private fun take(batch: SealedBatch) {
         if (waitingRecords + batch.records.size > mostRecords) return
         if (waiting.putIfAbsent(batch.name, batch) == null) waitingRecords += batch.records.size
+        unwrittenBatches = waiting.size
     }
 
     private fun write() {
@@ -44,6 +57,7 @@
         if (error != null) return failed(error)
         underWay.forEach { waiting.remove(it.name) }
         waitingRecords -= underWay.sumOf { it.records.size }
+        unwrittenBatches = waiting.size
         onStored(underWay.map { it.name })
         underWay = emptyList()
     }
