Serve on the old version until endpoints of the new one are listed; group store calls

Ruled out: health checks and reports (none are made). Change: a version binds only once an endpoint of it is listed, but a version that was found bad gets nothing; watches go on 150 ms after changes; the configuration is read every 1.6 s.

--- a/decision/src/main/kotlin/dev/almondhaven/decision/traffic/VersionChoice.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/traffic/VersionChoice.kt
@@ -5,6 +5,9 @@
     /** Whether an endpoint of [version] may run the request. */
     public fun allows(version: String): Boolean
 
+    /** Whether a request may run on another version as long as no endpoint of an allowed one is listed. */
+    public val bindsOnlyIfListed: Boolean get() = true
+
     /** Any version. */
     public data object Any : VersionChoice {
         override fun allows(version: String): Boolean = true
@@ -17,10 +20,13 @@
         override fun allows(version: String): Boolean = version == this.version
     }
 
-    /** Any but [version]. */
+    /** Any but [version], which was found bad or may not be used at all if [strict]. */
     public data class Except(
         val version: String,
+        val strict: Boolean = false,
     ) : VersionChoice {
+        override val bindsOnlyIfListed: Boolean get() = !strict
+
         override fun allows(version: String): Boolean = version != this.version
     }
 }
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/call/EndpointSelection.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/call/EndpointSelection.kt
@@ -10,16 +10,22 @@
 internal class EndpointSelection(
     private val context: CallContext,
 ) {
-    /** Endpoints of the call's service that may run it now. */
+    /**
+     * Endpoints of the call's service that may run it now: those of [versions], or those of the other version while none of
+     * them is listed, as at the start of a roll-out.
+     */
     fun usable(
         call: AdmittedCall,
         versions: VersionChoice,
     ): List<KnownEndpoint> {
-        val directory = context.directory
-        return directory.endpointsOf(call.service).filter { endpoint ->
-            val listing = endpoint.belief.listing
-            !listing.leaving && listing.failureDomain.value !in directory.evacuated && versions.allows(listing.version)
-        }
+        val inService = context.directory.endpointsOf(call.service).filter(::inService)
+        val preferred = inService.filter { versions.allows(it.belief.listing.version) }
+        return if (preferred.isEmpty() && versions.bindsOnlyIfListed) inService else preferred
+    }
+
+    private fun inService(endpoint: KnownEndpoint): Boolean {
+        val listing = endpoint.belief.listing
+        return !listing.leaving && listing.failureDomain.value !in context.directory.evacuated
     }
 
     /** The best of [usable], one that was not [tried] if there is any. */
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/state/ConfigurationProof.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/state/ConfigurationProof.kt
@@ -59,8 +59,8 @@
     private companion object {
         const val OK = 200
 
-        /** Two reads may fail before the proof lapses. */
-        val INTERVAL = 1_200.milliseconds
+        /** A read and its repeat may fail before the proof lapses. */
+        val INTERVAL = 1_600.milliseconds
         val PATIENCE = 1_000.milliseconds
         val PAUSE_AFTER_FAILURE = 250.milliseconds
 
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/state/KindWatch.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/state/KindWatch.kt
@@ -60,7 +60,8 @@
             if (changes == null) return@call retry(answer) { watch(revision) }
             failures = 0
             if (changes.changed.isNotEmpty()) onChanges(changes.changed)
-            watch(changes.revision)
+            // Changes come in groups; a short pause lets one call bring the rest of a group.
+            loop.schedule({ watch(changes.revision) }, GROUPING.inWholeMilliseconds, TimeUnit.MILLISECONDS)
         }
     }
 
@@ -85,6 +86,9 @@
         /** The store ends a watch after 30 s at most; shorter ones leave room for its answer. */
         val WATCH_WAIT = 20.seconds
 
+        /** Small beside the bounds within which changes are in force. */
+        val GROUPING = 150.milliseconds
+
         /** A slow store takes some hundred milliseconds for an answer. */
         val CALL_PATIENCE = 1_500.milliseconds
         val SHORTEST_PAUSE = 50.milliseconds
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/state/RollOuts.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/state/RollOuts.kt
@@ -88,10 +88,11 @@
         val move = moves[service] ?: return VersionChoice.Any
         val old = VersionChoice.Except(move.order.target)
         val new = VersionChoice.Only(move.order.target)
+        val never = VersionChoice.Except(move.order.target, strict = true)
         return when (move.order.state) {
             RollOutState.DONE -> new
-            RollOutState.ROLLED_BACK -> old
-            else -> if (move.asked == RollOutState.ROLLED_BACK) old else duringMove(move, session, requestId, old, new)
+            RollOutState.ROLLED_BACK -> never
+            else -> if (move.asked == RollOutState.ROLLED_BACK) never else duringMove(move, session, requestId, old, new)
         }
     }
 
