--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/Gateway.kt
@@ -23,6 +23,7 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.netty.channel.nio.NioEventLoopGroup
 import org.apache.commons.rng.simple.RandomSource
+import java.net.InetSocketAddress
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -63,8 +64,12 @@
     private fun ready(): Boolean =
         !lifecycle.stopping && directory.configuration != null && directory.endpointsKnown && proof.fresh
 
+    /** The port on which callers are served. */
+    var callerPort = 0
+        private set
+
     private fun start() {
-        callers.listen(place.callerAddress)
+        callerPort = (callers.listen(place.callerAddress).localAddress() as InetSocketAddress).port
         balancer.listen(place.readyAddress)
         loop.execute {
             proof.start()
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/state/RollOuts.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/state/RollOuts.kt
@@ -90,9 +90,23 @@
         val new = VersionChoice.Only(move.order.target)
         val never = VersionChoice.Except(move.order.target, strict = true)
         return when (move.order.state) {
-            RollOutState.DONE -> new
-            RollOutState.ROLLED_BACK -> never
-            else -> if (move.asked == RollOutState.ROLLED_BACK) never else duringMove(move, session, requestId, old, new)
+            RollOutState.DONE -> {
+                new
+            }
+
+            RollOutState.ROLLED_BACK -> {
+                never
+            }
+
+            else -> {
+                if (move.asked ==
+                    RollOutState.ROLLED_BACK
+                ) {
+                    never
+                } else {
+                    duringMove(move, session, requestId, old, new)
+                }
+            }
         }
     }
 
