Watch anew when the store returns; announce long readings; try the middle model

A watch that was sent into a silent store (4.3 to 8.8 s) is never answered, and its patience is 21.5 s. Ruled out: a late event (other routers' watches were answered), the grouping pause. When the store serves again every waiting watch is made anew. A prompt for which the largest model would be late goes to the middle one first.

--- a/decision/src/main/kotlin/dev/almondhaven/decision/endpoint/EndpointHealth.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/endpoint/EndpointHealth.kt
@@ -83,6 +83,15 @@
         }
     }
 
+    /** Notes that no connection to the endpoint could be opened, which is as good as several failures. */
+    public fun recordUnreachable(
+        now: Long,
+        random: UniformRandomProvider,
+    ): Boolean {
+        failures.set(CONSECUTIVE_FAILURES - 1)
+        return recordFailure(now, random)
+    }
+
     /** Stops counting the endpoint in its group. */
     public fun retire(): Unit = group.remove(this)
 
--- a/decision/src/main/kotlin/dev/almondhaven/decision/traffic/EndpointBelief.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/traffic/EndpointBelief.kt
@@ -11,11 +11,13 @@
  * several threads.
  *
  * @property listing as last seen in the platform's list.
+ * @property speed shared by the endpoints of a service.
  */
 public class EndpointBelief(
     listing: EndpointListing,
     group: EjectionGroup,
     memoryTokens: Long,
+    public val speed: EngineSpeed,
     now: Long,
 ) {
     public var listing: EndpointListing = listing
@@ -23,7 +25,7 @@
     public val health: EndpointHealth = EndpointHealth(group)
     public val cold: ColdGate = ColdGate(now)
     public val cache: PromptCache = PromptCache(memoryTokens)
-    public val speed: EngineSpeed = EngineSpeed()
+    public val remoteReading: RemoteReading = RemoteReading()
 
     public val failureRate: FailureRate = FailureRate()
 
@@ -88,6 +90,18 @@
         return health.recordFailure(now, random)
     }
 
+    /** Notes that no connection could be opened; true when it ejected the endpoint. */
+    public fun unreachable(
+        now: Long,
+        random: UniformRandomProvider,
+    ): Boolean {
+        failureRate.record(failed = true, now)
+        return health.recordUnreachable(now, random)
+    }
+
+    /** Milliseconds of reading that wait at the endpoint, this router's and what others have announced. */
+    public fun waitingMillis(now: Long): Double = readingMillis + remoteReading.millis(now)
+
     public fun reported(
         load: ReportedLoad,
         now: Long,
--- a/decision/src/main/kotlin/dev/almondhaven/decision/traffic/EndpointPlacement.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/traffic/EndpointPlacement.kt
@@ -56,20 +56,20 @@
         val held = endpoint.cache.tokensHeld(demand.model, demand.promptParts)
         val assumed = if (isHome) maxOf(held, shared.sumOf { it.tokens }) else held
         val unread = (demand.promptTokens - assumed).coerceAtLeast(0)
-        val perToken = endpoint.speed.millisPerToken(demand.model)
         val fullness = endpoint.requests(now).toDouble() / endpoint.listing.slots
         val queued = endpoint.waiting(now) * WAITING_MILLIS
         val crowd = if (fullness > FULL) (fullness - FULL) * OVERFULL_MILLIS else fullness * CROWD_MILLIS
-        return unread * perToken + endpoint.readingMillis + queued + crowd
+        return endpoint.speed.millis(demand.model, unread) + endpoint.waitingMillis(now) + queued + crowd
     }
 
-    /** Milliseconds of waiting that a request saves by keeping its tokens in place, for a whole prompt. */
-    public fun readingMillis(
-        endpoint: EndpointBelief,
+    /** Milliseconds until the best of [candidates] is expected to begin its answer; infinite without any. */
+    public fun expectedMillis(
+        candidates: List<EndpointBelief>,
         demand: PlacingDemand,
+        now: Long,
     ): Double {
-        val unread = demand.promptTokens - endpoint.cache.tokensHeld(demand.model, demand.promptParts)
-        return unread.coerceAtLeast(0) * endpoint.speed.millisPerToken(demand.model)
+        val homeOfPart = homeOf(candidates, demand)
+        return candidates.minOfOrNull { reading(it, it === homeOfPart, demand, now) } ?: Double.POSITIVE_INFINITY
     }
 
     private companion object {
--- a/decision/src/main/kotlin/dev/almondhaven/decision/traffic/EngineSpeed.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/traffic/EngineSpeed.kt
@@ -1,14 +1,18 @@
 package dev.almondhaven.decision.traffic
 
 /**
- * How long an engine reads prompts, learned from answers: the smallest time to the first event for each token that
- * had to be read. One estimate for each model, since larger ones are slower. Not safe for use from several threads.
+ * How long the engines of a service read prompts, learned from answers: the smallest time to the first event for each
+ * token that had to be read. One estimate for each model, since larger ones are slower. Not safe for use from several
+ * threads.
  */
 public class EngineSpeed {
     private val millisPerToken = HashMap<String, Double>()
 
-    /** Milliseconds that a token takes on [model]. */
-    public fun millisPerToken(model: String): Double = millisPerToken[model] ?: UNKNOWN_MILLIS_PER_TOKEN
+    /** Milliseconds that [model] takes to read [tokens]. */
+    public fun millis(
+        model: String,
+        tokens: Int,
+    ): Double = weighted(tokens) * (millisPerToken[model] ?: UNKNOWN_MILLIS_PER_TOKEN)
 
     /** Notes that [tokens] unread tokens took [millis] to the first event. */
     public fun observed(
@@ -17,11 +21,14 @@
         millis: Double,
     ) {
         if (tokens < FEWEST_TOKENS) return
-        val seen = millis / tokens
+        val seen = millis / weighted(tokens)
         val held = millisPerToken[model]
         millisPerToken[model] = if (held == null) seen else held + (seen - held) * if (seen < held) FALL else RISE
     }
 
+    /** Reading grows with the square of the prompt where attention outweighs the rest of the model. */
+    private fun weighted(tokens: Int): Double = tokens * (1 + tokens / ATTENTION_TOKENS)
+
     private companion object {
         /** Fixed costs dominate shorter prompts. */
         const val FEWEST_TOKENS = 500
@@ -29,6 +36,9 @@
         /** A 70-billion-parameter model reads about 20 tokens a millisecond. */
         const val UNKNOWN_MILLIS_PER_TOKEN = 0.05
 
+        /** Length at which attention takes as long as the rest of a model of that size. */
+        const val ATTENTION_TOKENS = 100_000.0
+
         /** Waiting only ever adds, so low observations count for more. */
         const val FALL = 0.3
         const val RISE = 0.02
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/Gateway.kt
@@ -5,6 +5,7 @@
 import dev.almondhaven.gateway.call.CallContext
 import dev.almondhaven.gateway.call.CallHandler
 import dev.almondhaven.gateway.net.CallerServer
+import dev.almondhaven.gateway.peer.PeerLink
 import dev.almondhaven.gateway.state.ConfigurationProof
 import dev.almondhaven.gateway.state.Directory
 import dev.almondhaven.gateway.state.KindWatch
@@ -46,6 +47,7 @@
     private val store = StoreLink(loop, place.storeAddress, clock)
     private val proof = ConfigurationProof(place.bounds, store, loop, clock, directory::configure)
     private val rollOuts = RollOuts(place.bounds, store, loop, clock, random)
+    private val peers = PeerLink(group, place.peerAddress, loop, clock, directory)
     private val context =
         CallContext(
             directory,
@@ -53,6 +55,7 @@
             rollOuts,
             EndpointPlacement(place.failureDomain),
             ModelSizing(),
+            peers,
             lifecycle,
             loop,
             clock,
@@ -71,6 +74,7 @@
     private fun start() {
         callerPort = (callers.listen(place.callerAddress).localAddress() as InetSocketAddress).port
         balancer.listen(place.readyAddress)
+        peers.listen()
         loop.execute {
             proof.start()
             follow(StoreKind.CONFIGURATION, { it.forEach(::configure) }, {
@@ -83,7 +87,7 @@
             follow(StoreKind.ROLL_OUTS, {
                 rollOuts.listed(it.mapNotNull(StoredObject::asRollOut))
             }, { it.forEach(::rollOutChanged) })
-            follow(StoreKind.ROUTERS, { routersListed(it.map(StoredObject::name)) }, ::routersChanged)
+            follow(StoreKind.ROUTERS, ::routersListed, ::routersChanged)
             rollOuts.start()
             register()
         }
@@ -162,24 +166,47 @@
         }
     }
 
-    private var routerNames: Set<String> = emptySet()
+    private val routers = HashMap<String, String?>()
 
-    private fun routersListed(names: List<String>) {
-        routerNames = names.toSet()
-        directory.routers = routerNames.size.coerceAtLeast(1)
+    private fun routersListed(entries: List<StoredObject>) {
+        routers.clear()
+        entries.forEach { routers[it.name] = it.asPeer() }
+        routersKnown()
     }
 
-    private fun routersChanged(changes: List<StoreChange>): Unit =
-        routersListed(
-            (
-                routerNames +
-                    changes.map { it.entry.name }
-            ).toList(),
-        )
+    private fun routersChanged(changes: List<StoreChange>) {
+        changes.forEach {
+            if (it.removed) {
+                routers.remove(
+                    it.entry.name,
+                )
+            } else {
+                routers[it.entry.name] = it.entry.asPeer()
+            }
+        }
+        routersKnown()
+    }
 
-    /** Enters this router in the list that the routers share their bounds by. */
+    private fun routersKnown() {
+        directory.routers = routers.size.coerceAtLeast(1)
+        peers.known(routers.values.filterNotNull().filter { it != place.peerAddress })
+    }
+
+    /** Enters this router in the list by which the routers find each other and share their bounds. */
     private fun register() {
-        store.call(StoreCall.create(StoreKind.ROUTERS, place.name), REGISTER_PATIENCE) { answer ->
+        store.call(StoreCall.register(place.name, place.peerAddress), REGISTER_PATIENCE) { answer ->
+            when (answer?.status) {
+                null -> loop.schedule(::register, REGISTER_AGAIN.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+                StoreCall.CONFLICT -> StoreCall.entry(answer.body)?.let(::moveEntry)
+                else -> Unit
+            }
+        }
+    }
+
+    /** Another VM had this one's name; its entry gets this one's address. */
+    private fun moveEntry(held: StoredObject) {
+        if (held.asPeer() == place.peerAddress) return
+        store.call(StoreCall.moveRouter(held, place.peerAddress), REGISTER_PATIENCE) { answer ->
             if (answer == null) loop.schedule(::register, REGISTER_AGAIN.inWholeMilliseconds, TimeUnit.MILLISECONDS)
         }
     }
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/Rehearsal.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/Rehearsal.kt
@@ -53,7 +53,16 @@
         val endpoint = serve(::endpointAnswer)
         val store = serve { storeAnswer(it, endpoint) }
         val bounds = TrafficBounds(1.seconds, 5.seconds, 0.9, 50.0, 10.seconds, 0.15, 5.seconds, 10.seconds)
-        val place = RouterPlace("rehearsal", FailureDomainId("here"), "127.0.0.1:0", "127.0.0.1:0", store, bounds)
+        val place =
+            RouterPlace(
+                "rehearsal",
+                FailureDomainId("here"),
+                "127.0.0.1:0",
+                "127.0.0.1:0",
+                store,
+                "127.0.0.1:0",
+                bounds,
+            )
         val gateway = Gateway.start(place)
         val port = gateway.callerPort
         val served = (1..TRIES).any { served(port, STREAM).also { if (!it) TimeUnit.MILLISECONDS.sleep(PAUSE_MILLIS) } }
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Attempt.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Attempt.kt
@@ -63,10 +63,11 @@
         val demand = exchange.selection.demandOf(call.demand, model ?: call.demand.model)
         if (call.demand.promptTokens > 0) {
             unread = (demand.promptTokens - belief.cache.tokensHeld(demand.model, demand.promptParts)).coerceAtLeast(0)
-            reading = unread * belief.speed.millisPerToken(demand.model)
+            reading = belief.speed.millis(demand.model, unread)
             belief.cache.read(demand.model, demand.promptParts)
         }
         belief.started(reading)
+        context.peers.readingBegins(readingKey(), listing.id, reading)
         if (belief.cold.cold(now)) {
             belief.cold.sent(
                 now,
@@ -171,8 +172,11 @@
         if (readingEnded) return
         readingEnded = true
         belief.readingEnded(reading)
+        context.peers.readingEnds(readingKey(), belief.listing.id, reading)
     }
 
+    private fun readingKey(): String = "${call.id}/$model"
+
     override fun content(bytes: ByteBuf) {
         val part = ByteArray(bytes.readableBytes())
         bytes.readBytes(part)
@@ -246,7 +250,7 @@
         reason: String,
     ) {
         if (stage == Stage.SETTLED) return
-        noteFailure()
+        if (sent) noteFailure() else noteUnreachable()
         report(
             when {
                 !sent -> {
@@ -297,6 +301,14 @@
         }
     }
 
+    private fun noteUnreachable() {
+        if (belief.unreachable(context.clock.nanos(), context.random)) {
+            LogEvent.ENDPOINT_EJECTED.log(
+                logger,
+            ) { "endpoint=${belief.listing.id} service=${call.service} unreachable" }
+        }
+    }
+
     private fun watch() {
         watchdog = context.loop.scheduleWithFixedDelay(::check, CHECK_MILLIS, CHECK_MILLIS, TimeUnit.MILLISECONDS)
     }
@@ -325,7 +337,7 @@
 
     private fun firstAnswerPatience(): Duration =
         if (call.demand.promptTokens > 0) {
-            FIRST_EVENT_PATIENCE + (reading + belief.readingMillis).milliseconds * READING_FACTOR
+            FIRST_EVENT_PATIENCE + belief.waitingMillis(context.clock.nanos()).milliseconds * READING_FACTOR
         } else {
             (call.route.latencyObjective * OBJECTIVES_UNTIL_REPEAT).coerceAtLeast(SHORTEST_PATIENCE)
         }
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/call/CallContext.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/call/CallContext.kt
@@ -2,6 +2,7 @@
 
 import dev.almondhaven.decision.traffic.EndpointPlacement
 import dev.almondhaven.decision.traffic.ModelSizing
+import dev.almondhaven.gateway.peer.PeerLink
 import dev.almondhaven.gateway.state.ConfigurationProof
 import dev.almondhaven.gateway.state.Directory
 import dev.almondhaven.gateway.state.Lifecycle
@@ -17,6 +18,7 @@
     val rollOuts: RollOuts,
     val placement: EndpointPlacement,
     val sizing: ModelSizing,
+    val peers: PeerLink,
     val lifecycle: Lifecycle,
     val loop: EventLoop,
     val clock: NanoClock,
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/call/EndpointSelection.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/call/EndpointSelection.kt
@@ -38,6 +38,12 @@
         return best(untried, demand) ?: best(usable - untried.toSet(), demand)
     }
 
+    /** Milliseconds until the best of [usable] is expected to begin its answer. */
+    fun expectedMillis(
+        usable: List<KnownEndpoint>,
+        demand: PlacingDemand,
+    ): Double = context.placement.expectedMillis(usable.map { it.belief }, demand, context.clock.nanos())
+
     private fun best(
         among: List<KnownEndpoint>,
         demand: PlacingDemand,
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Exchange.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Exchange.kt
@@ -1,5 +1,6 @@
 package dev.almondhaven.gateway.call
 
+import dev.almondhaven.decision.traffic.VersionChoice
 import dev.almondhaven.gateway.net.CallerPort
 import dev.almondhaven.gateway.net.RequestInWork
 import dev.almondhaven.model.EndpointId
@@ -60,8 +61,7 @@
     private fun dispatch() {
         pause = null
         if (finished) return
-        val versions = context.rollOuts.versionFor(call.service, call.demand.session, call.id)
-        val usable = selection.usable(call, versions)
+        val usable = selection.usable(call, versions())
         val demand = selection.demandOf(call.demand, model ?: call.demand.model)
         val chosen = selection.choose(usable, tried, demand) ?: return unplaced(usable.isNotEmpty())
         val next = Attempt(context, this, call, chosen, model)
@@ -93,10 +93,22 @@
     ): String? {
         val asked = attempt.model ?: return null
         if (begun || runs + 2 > call.route.mostAttempts) return null
-        val larger = context.sizing.instead(call.route.models, asked, confidence) ?: return null
+        val larger = context.sizing.instead(call.route.models, asked, confidence, ::inTime) ?: return null
         return larger.takeIf { context.directory.budgetOf(call.service).tryRetry() }
     }
 
+    private fun inTime(model: String): Boolean {
+        val left = call.route.latencyObjective - context.clock.elapsed(call.request.receivedAt)
+        val expected =
+            selection.expectedMillis(
+                selection.usable(call, versions()),
+                selection.demandOf(call.demand, model),
+            )
+        return expected < left.inWholeMilliseconds
+    }
+
+    private fun versions(): VersionChoice = context.rollOuts.versionFor(call.service, call.demand.session, call.id)
+
     fun attemptEnded(
         ended: Attempt,
         outcome: AttemptOutcome,
--- /dev/null
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/peer/PeerLink.kt
@@ -0,0 +1,135 @@
+package dev.almondhaven.gateway.peer
+
+import dev.almondhaven.gateway.state.Directory
+import dev.almondhaven.model.EndpointId
+import dev.almondhaven.model.LogEvent
+import dev.almondhaven.model.NanoClock
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.netty.bootstrap.Bootstrap
+import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.EventLoop
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.channel.socket.DatagramPacket
+import io.netty.channel.socket.nio.NioDatagramChannel
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.builtins.ListSerializer
+import kotlinx.serialization.json.Json
+import java.net.InetSocketAddress
+import java.util.concurrent.TimeUnit
+
+private val logger = KotlinLogging.logger {}
+
+/**
+ * Tells the other routers which endpoints read long prompts for this one, and hears the same of them: an engine that reads
+ * a long prompt delays whatever else comes to it, and its own reports are too old to show that. Datagrams may be lost;
+ * what they say only ever shifts a choice between endpoints. Lives on the event loop, but for [listen].
+ */
+internal class PeerLink(
+    private val group: EventLoopGroup,
+    private val address: String,
+    private val loop: EventLoop,
+    private val clock: NanoClock,
+    private val directory: Directory,
+) {
+    private var channel: Channel? = null
+    private var peers: List<InetSocketAddress> = emptyList()
+    private val pending = ArrayList<ReadingNote>()
+
+    /** Opens the port. */
+    fun listen() {
+        val bootstrap = Bootstrap().group(group).channel(NioDatagramChannel::class.java).handler(Receiver())
+        channel = bootstrap.bind(socketAddress(address)).sync().channel()
+    }
+
+    /** Sets the addresses of the other routers. */
+    fun known(addresses: List<String>) {
+        peers = addresses.map(::socketAddress)
+    }
+
+    private fun socketAddress(text: String): InetSocketAddress =
+        InetSocketAddress(text.substringBeforeLast(':'), text.substringAfterLast(':').toInt())
+
+    /** Announces that the attempt [key] keeps [endpoint] reading for [millis], if that is long. */
+    fun readingBegins(
+        key: String,
+        endpoint: EndpointId,
+        millis: Double,
+    ) {
+        if (isLong(millis)) send(ReadingNote(key, endpoint.value, millis.toInt()))
+    }
+
+    /** Revokes what [readingBegins] announced. */
+    fun readingEnds(
+        key: String,
+        endpoint: EndpointId,
+        millis: Double,
+    ) {
+        if (isLong(millis)) send(ReadingNote(key, endpoint.value, 0))
+    }
+
+    /** A larger fleet announces only longer prompts, so that what one router receives stays bounded. */
+    private fun isLong(millis: Double): Boolean =
+        millis >= SHORTEST_MILLIS * maxOf(1, directory.routers / ROUTERS_AT_SHORTEST)
+
+    private fun send(note: ReadingNote) {
+        if (peers.isEmpty()) return
+        pending += note
+        if (pending.size == 1) loop.schedule(::flush, GROUPING_MILLIS, TimeUnit.MILLISECONDS)
+    }
+
+    private fun flush() {
+        val bytes = json.encodeToString(NOTES, pending).toByteArray()
+        pending.clear()
+        val open = channel ?: return
+        peers.forEach { open.write(DatagramPacket(Unpooled.wrappedBuffer(bytes), it)) }
+        open.flush()
+    }
+
+    private fun received(text: String) {
+        val notes =
+            try {
+                json.decodeFromString(NOTES, text)
+            } catch (failure: SerializationException) {
+                LogEvent.PEER_MESSAGE_BAD.log(logger) { "reason=${failure.message?.lineSequence()?.first()}" }
+                return
+            }
+        notes.forEach { note ->
+            val reading = directory.endpoint(EndpointId(note.endpoint))?.belief?.remoteReading ?: return@forEach
+            if (note.millis >
+                0
+            ) {
+                reading.began(note.key, note.millis.toDouble(), clock.nanos())
+            } else {
+                reading.ended(note.key)
+            }
+        }
+    }
+
+    private inner class Receiver : SimpleChannelInboundHandler<DatagramPacket>() {
+        override fun channelRead0(
+            context: ChannelHandlerContext,
+            packet: DatagramPacket,
+        ): Unit = received(packet.content().toString(Charsets.UTF_8))
+
+        @Deprecated("Deprecated by ChannelHandler; it is how ChannelInboundHandler reports errors.")
+        override fun exceptionCaught(
+            context: ChannelHandlerContext,
+            cause: Throwable,
+        ): Unit = LogEvent.PEER_MESSAGE_BAD.log(logger) { "reason=${cause.message}" }
+    }
+
+    private companion object {
+        val json = Json { ignoreUnknownKeys = true }
+        val NOTES = ListSerializer(ReadingNote.serializer())
+
+        /** About two steps of a busy engine; shorter readings delay nobody noticeably. */
+        const val SHORTEST_MILLIS = 60.0
+        const val ROUTERS_AT_SHORTEST = 8
+
+        /** Notes that come together go out together. */
+        const val GROUPING_MILLIS = 2L
+    }
+}
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/state/ConfigurationProof.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/state/ConfigurationProof.kt
@@ -21,7 +21,7 @@
  */
 internal class ConfigurationProof(
     bounds: TrafficBounds,
-    private val store: StoreLink,
+    private val store: Store,
     private val loop: EventLoop,
     private val clock: NanoClock,
     private val onConfiguration: (TrafficConfiguration) -> Unit,
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/state/Directory.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/state/Directory.kt
@@ -50,6 +50,9 @@
         ) { "version=${next.version} before=${held?.version} routes=${next.routes.size}" }
     }
 
+    /** The endpoint [id], or null if it is not listed. */
+    fun endpoint(id: EndpointId): KnownEndpoint? = services.values.firstNotNullOfOrNull { it.endpoints[id] }
+
     /** Endpoints of [service] that are listed, those included that may come back. */
     fun endpointsOf(service: ServiceId): Collection<KnownEndpoint> = services[service]?.endpoints?.values.orEmpty()
 
@@ -112,7 +115,11 @@
                 ?.get(listing.service)
                 ?.engine
                 ?.memoryTokens ?: UNKNOWN_MEMORY_TOKENS
-        endpoint = KnownEndpoint(EndpointBelief(listing, of(listing.service).group, memory, clock.nanos()), pool)
+        endpoint =
+            KnownEndpoint(
+                EndpointBelief(listing, of(listing.service).group, memory, of(listing.service).speed, clock.nanos()),
+                pool,
+            )
         return endpoint
     }
 
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/state/KindWatch.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/state/KindWatch.kt
@@ -24,7 +24,7 @@
  */
 internal class KindWatch(
     private val kind: StoreKind,
-    private val store: StoreLink,
+    private val store: Store,
     private val loop: EventLoop,
     private val random: UniformRandomProvider,
     private val onList: (List<StoredObject>) -> Unit,
@@ -32,8 +32,22 @@
 ) {
     private val backoff = FullJitterBackoff(FIRST_PAUSE, LONGEST_PAUSE)
     private var failures = 0
+    private var watchedFrom = 0L
 
-    fun start(): Unit = list(after = null, found = emptyList())
+    /** Set while a watch waits. */
+    private var giveUpWatch: (() -> Unit)? = null
+
+    fun start() {
+        store.whenRegained(::watchAnew)
+        list(after = null, found = emptyList())
+    }
+
+    /** A watch that was begun before or while the store failed may never be answered. */
+    private fun watchAnew() {
+        val giveUp = giveUpWatch ?: return
+        giveUp()
+        watch(watchedFrom)
+    }
 
     private fun list(
         after: String?,
@@ -51,18 +65,32 @@
     }
 
     private fun watch(revision: Long) {
-        store.call(StoreCall.watch(kind, revision, WATCH_WAIT), WATCH_WAIT + CALL_PATIENCE) { answer ->
-            if (answer?.status == StoreCall.HISTORY_GONE) {
-                LogEvent.STORE_HISTORY_GONE.log(logger) { "kind=$kind revision=$revision" }
-                return@call list(after = null, found = emptyList())
+        watchedFrom = revision
+        giveUpWatch = null
+        var answered = false
+        val giveUp =
+            store.call(StoreCall.watch(kind, revision, WATCH_WAIT), WATCH_WAIT + CALL_PATIENCE) { answer ->
+                answered = true
+                giveUpWatch = null
+                watched(revision, answer)
             }
-            val changes = answer?.takeIf { it.status == OK }?.let { StoreCall.changes(it.body) }
-            if (changes == null) return@call retry(answer) { watch(revision) }
-            failures = 0
-            if (changes.changed.isNotEmpty()) onChanges(changes.changed)
-            // Changes come in groups; a short pause lets one call bring the rest of a group.
-            loop.schedule({ watch(changes.revision) }, GROUPING.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+        if (!answered) giveUpWatch = giveUp
+    }
+
+    private fun watched(
+        revision: Long,
+        answer: StoreAnswer?,
+    ) {
+        if (answer?.status == StoreCall.HISTORY_GONE) {
+            LogEvent.STORE_HISTORY_GONE.log(logger) { "kind=$kind revision=$revision" }
+            return list(after = null, found = emptyList())
         }
+        val changes = answer?.takeIf { it.status == OK }?.let { StoreCall.changes(it.body) }
+        if (changes == null) return retry(answer) { watch(revision) }
+        failures = 0
+        if (changes.changed.isNotEmpty()) onChanges(changes.changed)
+        // Changes come in groups; a short pause lets one call bring the rest of a group.
+        loop.schedule({ watch(changes.revision) }, GROUPING.inWholeMilliseconds, TimeUnit.MILLISECONDS)
     }
 
     private fun retry(
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/state/RollOuts.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/state/RollOuts.kt
@@ -26,7 +26,7 @@
  */
 internal class RollOuts(
     private val bounds: TrafficBounds,
-    private val store: StoreLink,
+    private val store: Store,
     private val loop: EventLoop,
     private val clock: NanoClock,
     private val random: UniformRandomProvider,
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/state/ServiceEndpoints.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/state/ServiceEndpoints.kt
@@ -2,6 +2,7 @@
 
 import dev.almondhaven.decision.endpoint.EjectionGroup
 import dev.almondhaven.decision.retry.RetryBudget
+import dev.almondhaven.decision.traffic.EngineSpeed
 import dev.almondhaven.model.EndpointId
 import dev.almondhaven.model.ServiceId
 
@@ -10,6 +11,12 @@
     val service: ServiceId,
     val budget: RetryBudget,
 ) {
-    val group = EjectionGroup()
+    /** Nearly all endpoints may be unreachable: a failure domain that is cut off has only its own. */
+    val group = EjectionGroup(MOST_EJECTED)
+    val speed = EngineSpeed()
     val endpoints = LinkedHashMap<EndpointId, KnownEndpoint>()
+
+    private companion object {
+        const val MOST_EJECTED = 0.9
+    }
 }
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/state/StoreLink.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/state/StoreLink.kt
@@ -23,34 +23,41 @@
     private val loop: EventLoop,
     address: String,
     private val clock: NanoClock,
-) {
+) : Store {
     private val pool = ConnectionPool(loop, address)
     private var failing = false
 
-    /** Monotonic time at which the store last came back after it had failed; null if it never failed. */
-    var returnedAt: Long? = null
+    private val regainedActions = ArrayList<() -> Unit>()
+
+    override var returnedAt: Long? = null
         private set
 
-    /** Calls [onAnswer] once: with the answer, or with null if none came within [patience]. */
-    fun call(
+    override fun whenRegained(action: () -> Unit) {
+        regainedActions += action
+    }
+
+    override fun call(
         call: StoreCall,
         patience: Duration,
         onAnswer: (StoreAnswer?) -> Unit,
-    ) {
+    ): () -> Unit {
         val body = call.body?.toByteArray() ?: ByteArray(0)
         val headers = if (call.body == null) emptyList() else listOf("Content-Type" to "application/json")
         val waiting = Waiting(call, onAnswer)
         waiting.outbound = pool.send(OutboundRequest(call.method, call.path, headers, body), waiting)
         waiting.timer = loop.schedule(waiting::expired, patience.inWholeMilliseconds, TimeUnit.MILLISECONDS)
         if (waiting.settled) waiting.timer?.cancel(false)
+        return waiting::giveUp
     }
 
-    private fun note(reached: Boolean) {
-        if (reached == !failing) return
+    /** Notes whether the store served; true if it does so again. */
+    private fun note(reached: Boolean): Boolean {
+        if (reached == !failing) return false
         failing = !reached
         if (reached) returnedAt = clock.nanos()
         val event = if (reached) LogEvent.STORE_REGAINED else LogEvent.STORE_LOST
         event.log(logger)
+        return reached
     }
 
     private inner class Waiting(
@@ -83,8 +90,9 @@
                 note(reached = false)
                 settle(null)
             } else {
-                note(reached = true)
+                val regained = note(reached = true)
                 settle(StoreAnswer(status, body.toString(Charsets.UTF_8)))
+                if (regained) regainedActions.forEach { it() }
             }
         }
 
@@ -103,6 +111,13 @@
             broken(sent = true, reason = "no answer in time")
         }
 
+        fun giveUp() {
+            if (settled) return
+            settled = true
+            timer?.cancel(false)
+            outbound?.cancel()
+        }
+
         private fun settle(answer: StoreAnswer?) {
             if (settled) return
             settled = true
--- /dev/null
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/state/KindWatchTest.kt
@@ -0,0 +1,130 @@
+package dev.almondhaven.gateway.state
+
+import dev.almondhaven.platform.StoreCall
+import dev.almondhaven.platform.StoreChange
+import dev.almondhaven.platform.StoreKind
+import dev.almondhaven.platform.StoredObject
+import io.netty.channel.embedded.EmbeddedChannel
+import org.apache.commons.rng.simple.RandomSource
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
+
+class KindWatchTest {
+    private class Waiting(
+        val path: String,
+        val onAnswer: (StoreAnswer?) -> Unit,
+    ) {
+        var givenUp = false
+    }
+
+    private class ScriptedStore : Store {
+        val calls = ArrayList<Waiting>()
+        private val actions = ArrayList<() -> Unit>()
+        override val returnedAt: Long? = null
+
+        override fun call(
+            call: StoreCall,
+            patience: Duration,
+            onAnswer: (StoreAnswer?) -> Unit,
+        ): () -> Unit {
+            val waiting = Waiting(call.path, onAnswer).also { calls += it }
+            return { waiting.givenUp = true }
+        }
+
+        override fun whenRegained(action: () -> Unit) {
+            actions += action
+        }
+
+        fun regained(): Unit = actions.forEach { it() }
+    }
+
+    private val channel = EmbeddedChannel()
+    private val store = ScriptedStore()
+    private val seen = ArrayList<String>()
+    private val random = RandomSource.SPLIT_MIX_64.create(1L)
+    private val watch =
+        KindWatch(StoreKind.EVACUATIONS, store, channel.eventLoop(), random, ::listed, ::changed)
+
+    private fun listed(entries: List<StoredObject>) {
+        seen += entries.map { "list ${it.name}" }
+    }
+
+    private fun changed(changes: List<StoreChange>) {
+        seen += changes.map { "change ${it.entry.name} removed=${it.removed}" }
+    }
+
+    private fun stored(name: String) =
+        """{"metadata":{"name":"$name","revision":3,"created":2},"spec":{},"status":null}"""
+
+    private fun answer(
+        call: Int,
+        body: String,
+        status: Int = 200,
+    ): Unit = store.calls[call].onAnswer(StoreAnswer(status, body))
+
+    private fun pass(milliseconds: Long) {
+        channel.advanceTimeBy(milliseconds, TimeUnit.MILLISECONDS)
+        channel.runScheduledPendingTasks()
+    }
+
+    private val list = """{"items":[${stored("east")}],"truncated":false,"currentRev":7}"""
+
+    @Nested
+    inner class `a watch` {
+        @Test
+        fun `goes on from the list's revision and then from its own`() {
+            watch.start()
+            answer(0, list)
+            answer(1, """{"events":[{"removed":true,"object":${stored("east")}}],"currentRev":9}""")
+            pass(200)
+
+            expectThat(store.calls.map { it.path }).isEqualTo(
+                listOf(
+                    "/objects/evacuations",
+                    "/objects/evacuations?watch=7&waitMs=20000",
+                    "/objects/evacuations?watch=9&waitMs=20000",
+                ),
+            )
+            expectThat(seen.toList()).isEqualTo(listOf("list east", "change east removed=true"))
+        }
+
+        @Test
+        fun `lists anew when the history is gone`() {
+            watch.start()
+            answer(0, list)
+            answer(1, "", status = 410)
+
+            expectThat(store.calls.last().path).isEqualTo("/objects/evacuations")
+        }
+
+        @Test
+        fun `is made again when the store comes back, since the old one may never be answered`() {
+            watch.start()
+            answer(0, list)
+            store.regained()
+
+            expectThat(store.calls.map { it.path to it.givenUp }).isEqualTo(
+                listOf(
+                    "/objects/evacuations" to false,
+                    "/objects/evacuations?watch=7&waitMs=20000" to true,
+                    "/objects/evacuations?watch=7&waitMs=20000" to false,
+                ),
+            )
+        }
+
+        @Test
+        fun `that fails is made again after a pause`() {
+            watch.start()
+            answer(0, list)
+            store.calls[1].onAnswer(null)
+            pass(0)
+            expectThat(store.calls.size).isEqualTo(2)
+            pass(600)
+            expectThat(store.calls.last().path).isEqualTo("/objects/evacuations?watch=7&waitMs=20000")
+        }
+    }
+}
--- a/model/src/main/kotlin/dev/almondhaven/traffic/RouterPlace.kt
+++ b/model/src/main/kotlin/dev/almondhaven/traffic/RouterPlace.kt
@@ -10,6 +10,7 @@
  * @property callerAddress `ip:port` on which callers are served.
  * @property readyAddress `ip:port` on which the balancer asks whether the router takes connections.
  * @property storeAddress `ip:port` of the platform's store.
+ * @property peerAddress `ip:port` on which other routers' datagrams are received.
  */
 public data class RouterPlace(
     public val name: String,
@@ -17,5 +18,6 @@
     public val callerAddress: String,
     public val readyAddress: String,
     public val storeAddress: String,
+    public val peerAddress: String,
     public val bounds: TrafficBounds,
 )
