--- a/decision/src/main/kotlin/dev/almondhaven/decision/traffic/RemoteReading.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/traffic/RemoteReading.kt
@@ -18,7 +18,7 @@
         millis: Double,
         now: Long,
     ) {
-        if (millis <= 0 || millis > LONGEST_MILLIS) return
+        if (!(millis > 0 && millis <= LONGEST_MILLIS)) return
         if (entries.size >= MOST_ENTRIES) drop(now)
         entries[key] = Entry(millis, now + ((millis * LIFE_FACTOR + LIFE_MILLIS) * NANOS_PER_MILLI).toLong())
     }
--- /dev/null
+++ b/decision/src/test/kotlin/dev/almondhaven/decision/traffic/ModelSizingTest.kt
@@ -0,0 +1,47 @@
+package dev.almondhaven.decision.traffic
+
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+
+class ModelSizingTest {
+    private val sizing = ModelSizing()
+    private val models = listOf("small", "middle", "large")
+
+    private fun instead(
+        model: String,
+        confidence: Int?,
+        late: Set<String> = emptySet(),
+    ) = sizing.instead(models, model, confidence) { it !in late }
+
+    @Nested
+    inner class `an answer of the small model` {
+        @Test
+        fun `is kept when it is confident or says nothing of it`() {
+            expectThat(listOf(100, 60, null).map { instead("small", it) }).isEqualTo(listOf(null, null, null))
+        }
+
+        @Test
+        fun `gives way to the middle model when it is nearly good enough, to the large one otherwise`() {
+            expectThat(
+                listOf(59, 45, 44, 0).map { instead("small", it) },
+            ).isEqualTo(listOf("middle", "middle", "large", "large"))
+        }
+
+        @Test
+        fun `gives way to the middle model where only that one would be in time`() {
+            expectThat(instead("small", 10, late = setOf("large"))).isEqualTo("middle")
+            expectThat(instead("small", 10, late = setOf("large", "middle"))).isEqualTo("large")
+        }
+    }
+
+    @Nested
+    inner class `an answer of a larger model` {
+        @Test
+        fun `gives way to the large one only`() {
+            expectThat(listOf(59, 60).map { instead("middle", it) }).isEqualTo(listOf("large", null))
+            expectThat(instead("large", 0)).isEqualTo(null)
+        }
+    }
+}
