Under congestion ask another model only where it begins in time; path tests

Ruled out: false silence (26 and 40 of 92 silent attempts are in the two seconds of the cut), uneven placing (busiest/mean 1.0). Reading times were estimated three times too long under load, since each observation with waiting raised them. Change: the estimate follows the least waiting; with more than 300 ms of reading waiting at an engine on average another model is asked only where it is expected to begin within half of the time left.

--- a/decision/src/main/kotlin/dev/almondhaven/decision/traffic/EndpointPlacement.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/traffic/EndpointPlacement.kt
@@ -72,6 +72,12 @@
         return candidates.minOfOrNull { reading(it, it === homeOfPart, demand, now) } ?: Double.POSITIVE_INFINITY
     }
 
+    /** Milliseconds of reading that wait at one of [candidates] on average; 0 without any. */
+    public fun backlogMillis(
+        candidates: List<EndpointBelief>,
+        now: Long,
+    ): Double = if (candidates.isEmpty()) 0.0 else candidates.sumOf { it.waitingMillis(now) } / candidates.size
+
     private companion object {
         /** Two ways between failure domains, and what the bytes cost. */
         const val OTHER_DOMAIN_MILLIS = 5.0
--- a/decision/src/main/kotlin/dev/almondhaven/decision/traffic/EngineSpeed.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/traffic/EngineSpeed.kt
@@ -23,7 +23,14 @@
         if (tokens < FEWEST_TOKENS) return
         val seen = millis / weighted(tokens)
         val held = millisPerToken[model]
-        millisPerToken[model] = if (held == null) seen else held + (seen - held) * if (seen < held) FALL else RISE
+        millisPerToken[model] =
+            if (held ==
+                null
+            ) {
+                minOf(seen, UNKNOWN_MILLIS_PER_TOKEN)
+            } else {
+                held + (seen - held) * if (seen < held) FALL else RISE
+            }
     }
 
     /** Reading grows with the square of the prompt where attention outweighs the rest of the model. */
@@ -33,14 +40,14 @@
         /** Fixed costs dominate shorter prompts. */
         const val FEWEST_TOKENS = 500
 
-        /** A 70-billion-parameter model reads about 20 tokens a millisecond. */
-        const val UNKNOWN_MILLIS_PER_TOKEN = 0.05
+        /** A 70-billion-parameter model reads about 20 tokens a millisecond or somewhat less. */
+        const val UNKNOWN_MILLIS_PER_TOKEN = 0.06
 
         /** Length at which attention takes as long as the rest of a model of that size. */
         const val ATTENTION_TOKENS = 100_000.0
 
-        /** Waiting only ever adds, so low observations count for more. */
-        const val FALL = 0.3
-        const val RISE = 0.02
+        /** Waiting only ever adds, so what is seen below the estimate counts, and what is above hardly does. */
+        const val FALL = 0.5
+        const val RISE = 0.002
     }
 }
--- a/decision/src/main/kotlin/dev/almondhaven/decision/traffic/ModelSizing.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/traffic/ModelSizing.kt
@@ -8,6 +8,10 @@
  * Confidence falls with the hardness of a request. An answer just below the bound is likely within reach of the next
  * larger model; further below only the largest will do. Where that one could not begin in time, the next larger one is
  * tried first: an answer of high confidence that is on time is worth more than a late one.
+ *
+ * Answers the load pattern of a burst or a loss of engines: every answer of the largest model takes the reading time of
+ * ten small ones, and once all engines are busy it makes the answers of others late. Then another model is asked only
+ * where it can begin well within the time left; the rest keep the answer they have.
  */
 public class ModelSizing(
     private val leastConfidence: Int = LEAST_CONFIDENCE,
@@ -34,23 +38,38 @@
         }
     }
 
-    /**
-     * The model to ask instead of going on with an answer of [model], or null to go on. [inTime] tells whether a model
-     * could begin its answer within the latency objective.
-     */
+    /** The model to ask instead of going on with an answer of [model], or null to go on. */
     public fun instead(
         models: List<String>,
         model: String,
         confidence: Int?,
-        inTime: (String) -> Boolean,
+        outlook: SizingOutlook,
     ): String? {
         if (model == models.last() || confidence == null || confidence >= leastConfidence) return null
         val next = models[models.indexOf(model) + 1]
-        val close = confidence >= nextConfidence
-        return if (next != models.last() && (close || (!inTime(models.last()) && inTime(next)))) next else models.last()
+        val chosen = if (confidence >= nextConfidence || prefersNext(models, next, outlook)) next else models.last()
+        return chosen.takeIf { outlook.backlogMillis < CALM_BACKLOG_MILLIS || soon(it, outlook) }
     }
 
+    private fun prefersNext(
+        models: List<String>,
+        next: String,
+        outlook: SizingOutlook,
+    ): Boolean =
+        outlook.expectedMillis(models.last()) >= outlook.leftMillis && outlook.expectedMillis(next) < outlook.leftMillis
+
+    private fun soon(
+        model: String,
+        outlook: SizingOutlook,
+    ): Boolean = outlook.expectedMillis(model) < outlook.leftMillis * SOON
+
     public companion object {
+        /** With less reading waiting at an engine than this, another answer delays nobody much. */
+        private const val CALM_BACKLOG_MILLIS = 300.0
+
+        /** Part of the time left within which a model must be expected to begin while engines are busy. */
+        private const val SOON = 0.5
+
         /** Prompts that take less of the objective than this need no further look. */
         private const val SHORT = 0.5
 
--- a/decision/src/test/kotlin/dev/almondhaven/decision/traffic/ModelSizingTest.kt
+++ b/decision/src/test/kotlin/dev/almondhaven/decision/traffic/ModelSizingTest.kt
@@ -13,7 +13,11 @@
         model: String,
         confidence: Int?,
         late: Set<String> = emptySet(),
-    ) = sizing.instead(models, model, confidence) { it !in late }
+        backlogMillis: Double = 0.0,
+    ): String? {
+        val outlook = SizingOutlook(leftMillis = 1_000.0, backlogMillis) { if (it in late) 2_000.0 else backlogMillis }
+        return sizing.instead(models, model, confidence, outlook)
+    }
 
     @Nested
     inner class `the first model` {
@@ -49,6 +53,17 @@
         }
     }
 
+    @Nested
+    inner class `an answer of low confidence while engines are busy` {
+        @Test
+        fun `gives way only to a model that begins well within the time left`() {
+            expectThat(
+                listOf(400.0, 600.0).map { instead("small", 10, backlogMillis = it) },
+            ).isEqualTo(listOf("large", null))
+            expectThat(instead("small", 50, late = setOf("middle"), backlogMillis = 400.0)).isEqualTo(null)
+        }
+    }
+
     @Nested
     inner class `an answer of a larger model` {
         @Test
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/Rehearsal.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/Rehearsal.kt
@@ -73,20 +73,21 @@
 
     private fun endpointAnswer(request: CallerRequest): Triple<Int, List<Pair<String, String>>, String> {
         val streamed = request.path.startsWith(WireSamples.STREAM_PATH)
-        return Triple(OK, WireSamples.answerHeaders(streamed), if (streamed) EVENTS else "whole")
+        val headers = WireSamples.answerHeaders(REQUEST_ID, confidence = if (streamed) 90 else null)
+        return Triple(OK, headers, if (streamed) EVENTS else "whole")
     }
 
     private fun storeAnswer(
         request: CallerRequest,
         endpoint: String,
-    ) = Triple(OK, listOf("Content-Type" to "application/json"), WireSamples.storeBody(request.path, endpoint))
+    ) = Triple(OK, listOf("Content-Type" to "application/json"), WireSamples.storeBody(request.path, listOf(endpoint)))
 
     private fun served(
         port: Int,
         path: String,
     ): Boolean {
         val connection = URI("http://127.0.0.1:$port$path").toURL().openConnection() as HttpURLConnection
-        WireSamples.callHeaders().forEach { (name, value) -> connection.setRequestProperty(name, value) }
+        WireSamples.callHeaders(REQUEST_ID).forEach { (name, value) -> connection.setRequestProperty(name, value) }
         if (connection.responseCode != OK) return false
         return connection.inputStream.use { it.readBytes().isNotEmpty() }
     }
@@ -95,6 +96,7 @@
         const val STREAM = "${WireSamples.STREAM_PATH}a"
         const val WHOLE = "${WireSamples.WHOLE_PATH}a"
         const val EVENTS = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+        const val REQUEST_ID = "r-1"
         const val OK = 200
         const val TRIES = 50
         const val REPEATS = 20
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Attempt.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Attempt.kt
@@ -332,7 +332,9 @@
             (call.route.latencyObjective * OBJECTIVES_UNTIL_REPEAT).coerceAtLeast(SHORTEST_PATIENCE)
         }
 
-    override fun toString(): String = "endpoint=${belief.listing.id} version=${belief.listing.version} model=$model"
+    override fun toString(): String =
+        "endpoint=${belief.listing.id} version=${belief.listing.version} model=$model unread=$unread " +
+            "readingMillis=${reading.toInt()} attemptMillis=${firstAnswerMillis?.toInt()}"
 
     private companion object {
         val SUCCESS = 200..299
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/call/EndpointSelection.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/call/EndpointSelection.kt
@@ -44,6 +44,10 @@
         demand: PlacingDemand,
     ): Double = context.placement.expectedMillis(usable.map { it.belief }, demand, context.clock.nanos())
 
+    /** Milliseconds of reading that wait at one of [usable] on average. */
+    fun backlogMillis(usable: List<KnownEndpoint>): Double =
+        context.placement.backlogMillis(usable.map { it.belief }, context.clock.nanos())
+
     private fun best(
         among: List<KnownEndpoint>,
         demand: PlacingDemand,
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Exchange.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Exchange.kt
@@ -1,5 +1,6 @@
 package dev.almondhaven.gateway.call
 
+import dev.almondhaven.decision.traffic.SizingOutlook
 import dev.almondhaven.decision.traffic.VersionChoice
 import dev.almondhaven.gateway.net.CallerPort
 import dev.almondhaven.gateway.net.RequestInWork
@@ -46,6 +47,7 @@
     private var lastEvent: Long? = call.demand.resumeAfter
     private var events = 0
     private var confidence: Int? = null
+    private var backlogMillis: Int? = null
     private var firstMillis: Long? = null
 
     fun timeLeft(): Duration =
@@ -102,15 +104,18 @@
         confidence: Int?,
     ): String? {
         val asked = attempt.model ?: return null
+        val outlook = outlook()
+        backlogMillis = outlook.backlogMillis.toInt()
         if (begun || runs + 2 > call.route.mostAttempts) return null
-        val larger = context.sizing.instead(call.route.models, asked, confidence, ::inTime) ?: return null
+        val larger = context.sizing.instead(call.route.models, asked, confidence, outlook) ?: return null
         val budget = context.directory.budgetOf(call.service)
         return larger.takeIf { budget.available >= RESERVED_REPEATS && budget.tryRetry() }
     }
 
-    private fun inTime(model: String): Boolean {
+    private fun outlook(): SizingOutlook {
         val left = call.route.latencyObjective - context.clock.elapsed(call.request.receivedAt)
-        return expectedMillis(model) < left.inWholeMilliseconds
+        val backlog = selection.backlogMillis(selection.usable(call, versions()))
+        return SizingOutlook(left.inWholeMilliseconds.toDouble(), backlog, ::expectedMillis)
     }
 
     private fun expectedMillis(model: String): Double =
@@ -301,7 +306,7 @@
         LogEvent.REQUEST_ENDED.log(logger) {
             "request=${call.id} route=${call.route.name} kind=${call.route.kind} organisation=${call.organisation} " +
                 "session=${call.demand.session} outcome=\"$outcome\" $last sends=$sends runs=$runs events=$events " +
-                "confidence=$confidence prompt=${call.demand.promptTokens} output=${call.demand.outputTokens} " +
+                "confidence=$confidence backlogMillis=$backlogMillis prompt=${call.demand.promptTokens} output=${call.demand.outputTokens} " +
                 "firstMillis=$firstMillis millis=${context.clock.elapsed(
                     call.request.receivedAt,
                 ).inWholeMilliseconds} " +
--- /dev/null
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/GatewayScene.kt
@@ -0,0 +1,104 @@
+package dev.almondhaven.gateway
+
+import dev.almondhaven.gateway.net.CallerRequest
+import dev.almondhaven.gateway.net.CallerServer
+import dev.almondhaven.gateway.net.RequestHandler
+import dev.almondhaven.gateway.net.RequestInWork
+import dev.almondhaven.model.FailureDomainId
+import dev.almondhaven.platform.WireSamples
+import dev.almondhaven.traffic.CallerLimits
+import dev.almondhaven.traffic.RouterPlace
+import dev.almondhaven.traffic.TrafficBounds
+import io.netty.channel.nio.NioEventLoopGroup
+import java.net.InetSocketAddress
+import java.net.Socket
+import java.net.SocketException
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration.Companion.seconds
+
+/** A gateway before [endpoints], with a store that lists them; all in this process on loopback. */
+internal class GatewayScene(
+    private val endpoints: List<ScriptedEndpoint>,
+) : AutoCloseable {
+    private val group = NioEventLoopGroup(1)
+    private val store = CallerServer(group, { CallerLimits.BEFORE_CONFIGURATION }, { false }, storeHandler())
+    private val storePort = (store.listen("127.0.0.1:0").localAddress() as InetSocketAddress).port
+    private val bounds = TrafficBounds(1.seconds, 5.seconds, 0.9, 50.0, 10.seconds, 0.15, 5.seconds, 10.seconds)
+    private val gateway =
+        Gateway.start(
+            RouterPlace(
+                "test",
+                FailureDomainId("here"),
+                "127.0.0.1:0",
+                "127.0.0.1:0",
+                "127.0.0.1:$storePort",
+                "127.0.0.1:0",
+                bounds,
+            ),
+        )
+
+    init {
+        repeat(PATIENCE_STEPS) {
+            if (!call("${WireSamples.WHOLE_PATH}ready", id = "ready").startsWith("HTTP/1.1 503")) return@repeat
+            TimeUnit.MILLISECONDS.sleep(STEP_MILLIS)
+        }
+        endpoints.forEach { it.arrived.clear() }
+    }
+
+    private fun storeHandler() =
+        RequestHandler { request: CallerRequest, port ->
+            val body = WireSamples.storeBody(request.path, endpoints.map { it.address })
+            port.answer(OK, listOf("Content-Type" to "application/json"), body.toByteArray())
+            object : RequestInWork {
+                override fun callerLeft() = Unit
+
+                override fun callerReady() = Unit
+            }
+        }
+
+    fun connect(): Socket = Socket("127.0.0.1", gateway.callerPort)
+
+    /** A request's text; the connection ends after its answer unless [keepAlive]. */
+    fun request(
+        path: String,
+        id: String,
+        body: String = "",
+        headers: List<Pair<String, String>> = WireSamples.callHeaders(id),
+        keepAlive: Boolean = false,
+    ): String {
+        val own = listOf("Host" to "127.0.0.1", "Content-Length" to "${body.length}")
+        val end = if (keepAlive) emptyList() else listOf("Connection" to "close")
+        val lines = (own + headers + end).joinToString("") { (name, value) -> "$name: $value\r\n" }
+        return "POST $path HTTP/1.1\r\n$lines\r\n$body"
+    }
+
+    /** Sends the raw [text] on a connection of its own; all that comes back until the connection ends. */
+    fun exchange(text: String): String =
+        connect().use { socket ->
+            socket.getOutputStream().write(text.toByteArray())
+            try {
+                String(socket.getInputStream().readAllBytes())
+            } catch (reset: SocketException) {
+                "reset: ${reset.message}"
+            }
+        }
+
+    fun call(
+        path: String,
+        id: String,
+        body: String = "",
+        headers: List<Pair<String, String>> = WireSamples.callHeaders(id),
+    ): String = exchange(request(path, id, body, headers))
+
+    override fun close() {
+        gateway.stop()
+        endpoints.forEach { it.close() }
+        group.shutdownGracefully(0, 0, TimeUnit.SECONDS)
+    }
+
+    private companion object {
+        const val OK = 200
+        const val PATIENCE_STEPS = 200
+        const val STEP_MILLIS = 20L
+    }
+}
--- /dev/null
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/ScriptedEndpoint.kt
@@ -0,0 +1,97 @@
+package dev.almondhaven.gateway
+
+import dev.almondhaven.platform.WireSamples
+import java.io.BufferedInputStream
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.Socket
+import java.net.SocketException
+import java.util.concurrent.CopyOnWriteArrayList
+import kotlin.concurrent.thread
+
+/** An endpoint that answers each request with the bytes that a script writes, well-formed or not. */
+internal class ScriptedEndpoint(
+    private val script: (Served) -> Unit,
+) : AutoCloseable {
+    /** One request as it arrived, and the connection to answer on. */
+    class Served(
+        val head: List<String>,
+        val body: String,
+        val socket: Socket,
+    ) {
+        val id: String get() = WireSamples.requestId(head)
+
+        fun write(text: String) {
+            socket.getOutputStream().write(text.toByteArray())
+            socket.getOutputStream().flush()
+        }
+
+        fun answer(
+            body: String,
+            status: String = "200 OK",
+            headers: List<Pair<String, String>> = WireSamples.answerHeaders(id),
+        ): Unit = write(head(status, headers + ("Content-Length" to "${body.length}")) + body)
+
+        fun head(
+            status: String,
+            headers: List<Pair<String, String>>,
+        ): String = "HTTP/1.1 $status\r\n" + headers.joinToString("") { (name, value) -> "$name: $value\r\n" } + "\r\n"
+
+        /** Ends the connection by a reset instead of a proper end. */
+        fun reset() {
+            socket.setSoLinger(true, 0)
+            socket.close()
+        }
+    }
+
+    private val server = ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"))
+    val address: String get() = "127.0.0.1:${server.localPort}"
+
+    /** Heads of the requests that have arrived. */
+    val arrived = CopyOnWriteArrayList<List<String>>()
+
+    init {
+        thread(isDaemon = true) { accept() }
+    }
+
+    private fun accept() {
+        try {
+            while (true) server.accept().let { socket -> thread(isDaemon = true) { serve(socket) } }
+        } catch (_: SocketException) {
+            // The endpoint was closed.
+        }
+    }
+
+    private fun serve(socket: Socket) {
+        try {
+            val input = BufferedInputStream(socket.getInputStream())
+            while (true) {
+                val head = generateSequence { line(input) }.takeWhile { it.isNotEmpty() }.toList()
+                if (head.isEmpty()) return socket.close()
+                val length =
+                    head
+                        .firstOrNull { it.startsWith("content-length:", true) }
+                        ?.substringAfter(':')
+                        ?.trim()
+                        ?.toInt()
+                        ?: 0
+                arrived += head
+                script(Served(head, String(input.readNBytes(length)), socket))
+            }
+        } catch (_: SocketException) {
+            // The router has closed the connection, or the script has.
+        }
+    }
+
+    private fun line(input: BufferedInputStream): String? {
+        val text = StringBuilder()
+        while (true) {
+            val next = input.read()
+            if (next < 0) return null
+            if (next == '\n'.code) return text.toString().trimEnd('\r')
+            text.append(next.toChar())
+        }
+    }
+
+    override fun close(): Unit = server.close()
+}
