--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Exchange.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Exchange.kt
@@ -306,7 +306,8 @@
         LogEvent.REQUEST_ENDED.log(logger) {
             "request=${call.id} route=${call.route.name} kind=${call.route.kind} organisation=${call.organisation} " +
                 "session=${call.demand.session} outcome=\"$outcome\" $last sends=$sends runs=$runs events=$events " +
-                "confidence=$confidence backlogMillis=$backlogMillis prompt=${call.demand.promptTokens} output=${call.demand.outputTokens} " +
+                "confidence=$confidence backlogMillis=$backlogMillis prompt=${call.demand.promptTokens} " +
+                "output=${call.demand.outputTokens} " +
                 "firstMillis=$firstMillis millis=${context.clock.elapsed(
                     call.request.receivedAt,
                 ).inWholeMilliseconds} " +
