--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/Gateway.kt
@@ -23,7 +23,8 @@
 import dev.almondhaven.platform.StoredObject
 import dev.almondhaven.traffic.RouterPlace
 import io.github.oshai.kotlinlogging.KotlinLogging
-import io.netty.channel.nio.NioEventLoopGroup
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
 import org.apache.commons.rng.simple.RandomSource
 import java.net.InetSocketAddress
 import java.util.concurrent.TimeUnit
@@ -39,7 +40,7 @@
 internal class Gateway private constructor(
     private val place: RouterPlace,
 ) {
-    private val group = NioEventLoopGroup(1)
+    private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
     private val loop = group.next()
     private val clock = NanoClock.SYSTEM
     private val random = RandomSource.XO_RO_SHI_RO_128_PP.create()
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/Rehearsal.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/Rehearsal.kt
@@ -10,7 +10,8 @@
 import dev.almondhaven.traffic.CallerLimits
 import dev.almondhaven.traffic.RouterPlace
 import dev.almondhaven.traffic.TrafficBounds
-import io.netty.channel.nio.NioEventLoopGroup
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
 import java.net.HttpURLConnection
 import java.net.InetSocketAddress
 import java.net.URI
@@ -22,7 +23,7 @@
  * archive the classes that serving needs, so that a process that starts takes requests sooner.
  */
 internal class Rehearsal {
-    private val group = NioEventLoopGroup(1)
+    private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
 
     private class Fixed(
         private val answer: (CallerRequest) -> Triple<Int, List<Pair<String, String>>, String>,
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/call/CallHandler.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/call/CallHandler.kt
@@ -31,10 +31,9 @@
         answer: OwnAnswer,
     ): RequestInWork {
         LogEvent.REQUEST_REFUSED.log(logger) {
-            "status=${answer.status} host=${request.host} path=${request.path} reason=\"${String(
-                answer.body,
-            ).trim()}\" " +
-                "headers=${answer.headers} configuration=${context.directory.configuration?.version}"
+            "request=${answer.requestId} status=${answer.status} host=${request.host} path=${request.path} " +
+                "reason=\"${answer.reason}\" configuration=${context.directory.configuration?.version} " +
+                "proofAge=${context.proof.age().inWholeMilliseconds}"
         }
         port.answer(answer)
         return Answered
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/call/OwnAnswer.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/call/OwnAnswer.kt
@@ -8,6 +8,8 @@
 /** An answer of the router's own; it bears no endpoint's signature. */
 internal class OwnAnswer private constructor(
     val status: Int,
+    val requestId: String?,
+    val reason: String,
     val headers: List<Pair<String, String>>,
     val body: ByteArray,
 ) {
@@ -32,7 +34,7 @@
             more: List<Pair<String, String>> = emptyList(),
         ): OwnAnswer {
             val headers = WireCalls.ownAnswer(requestId) + ("Content-Type" to "text/plain; charset=utf-8") + more
-            return OwnAnswer(status, headers, "$reason\n".toByteArray())
+            return OwnAnswer(status, requestId, reason, headers, "$reason\n".toByteArray())
         }
     }
 }
--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/GatewayScene.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/GatewayScene.kt
@@ -9,7 +9,8 @@
 import dev.almondhaven.traffic.CallerLimits
 import dev.almondhaven.traffic.RouterPlace
 import dev.almondhaven.traffic.TrafficBounds
-import io.netty.channel.nio.NioEventLoopGroup
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
 import java.net.InetSocketAddress
 import java.net.Socket
 import java.net.SocketException
@@ -20,7 +21,7 @@
 internal class GatewayScene(
     private val endpoints: List<ScriptedEndpoint>,
 ) : AutoCloseable {
-    private val group = NioEventLoopGroup(1)
+    private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
     private val store = CallerServer(group, { CallerLimits.BEFORE_CONFIGURATION }, { false }, storeHandler())
     private val storePort = (store.listen("127.0.0.1:0").localAddress() as InetSocketAddress).port
     private val bounds = TrafficBounds(1.seconds, 5.seconds, 0.9, 50.0, 10.seconds, 0.15, 5.seconds, 10.seconds)
--- a/operator/src/main/kotlin/dev/almondhaven/operator/OperatorMain.kt
+++ b/operator/src/main/kotlin/dev/almondhaven/operator/OperatorMain.kt
@@ -25,6 +25,7 @@
             AuditCommand(),
             StatusCommand(),
             ExplainCommand(),
+            ExplainRequestCommand(),
         )
 
 private class OperatorCommand : CliktCommand(name = "almondhaven") {
--- a/router/src/main/kotlin/dev/almondhaven/router/RouterMetrics.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/RouterMetrics.kt
@@ -8,7 +8,7 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import java.io.ByteArrayOutputStream
 
-/** The router's own metrics; `docs/OPERATING.md` says what each is good for. */
+/** The router's own metrics; `docs/OPERATIONS.md` says what each is good for. */
 public class RouterMetrics {
     /** Registry to which the parts of the router add their metrics. */
     public val registry: PrometheusRegistry = PrometheusRegistry()
