Group the changes of endpoints and routers longer

Change: the watch of endpoints goes on 500 ms after a change, that of routers 2 s after. Ruled out: reading the configuration less often (two reads must fit into the time a taken key may work).

--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/state/KindWatch.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/state/KindWatch.kt
@@ -10,6 +10,7 @@
 import io.netty.channel.EventLoop
 import org.apache.commons.rng.UniformRandomProvider
 import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -90,9 +91,16 @@
         failures = 0
         if (changes.changed.isNotEmpty()) onChanges(changes.changed)
         // Changes come in groups; a short pause lets one call bring the rest of a group.
-        loop.schedule({ watch(changes.revision) }, GROUPING.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+        loop.schedule({ watch(changes.revision) }, grouping().inWholeMilliseconds, TimeUnit.MILLISECONDS)
     }
 
+    private fun grouping(): Duration =
+        when (kind) {
+            StoreKind.ENDPOINTS -> ENDPOINT_GROUPING
+            StoreKind.ROUTERS -> ROUTER_GROUPING
+            else -> GROUPING
+        }
+
     private fun retry(
         answer: StoreAnswer?,
         action: () -> Unit,
@@ -114,9 +122,15 @@
         /** The store ends a watch after 30 s at most; shorter ones leave room for its answer. */
         val WATCH_WAIT = 20.seconds
 
-        /** Small beside the bounds within which changes are in force. */
+        /** Small beside the two seconds within which a configuration is in force. */
         val GROUPING = 150.milliseconds
 
+        /** Endpoints change most often, in groups during roll-outs; a leaving one has two seconds. */
+        val ENDPOINT_GROUPING = 500.milliseconds
+
+        /** Who shares the bounds changes only when routers start. */
+        val ROUTER_GROUPING = 2.seconds
+
         /** A slow store takes some hundred milliseconds for an answer. */
         val CALL_PATIENCE = 1_500.milliseconds
         val SHORTEST_PAUSE = 50.milliseconds
