--- a/decision/src/main/kotlin/dev/almondhaven/decision/traffic/ColdGate.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/traffic/ColdGate.kt
@@ -1,8 +1,5 @@
 package dev.almondhaven.decision.traffic
 
-import kotlin.time.Duration.Companion.nanoseconds
-import kotlin.time.DurationUnit
-
 /**
  * This router's part of the requests that one cold endpoint bears. The bound is of all routers together, so each takes
  * an equal part; a router that overestimates their number only sends less. Not safe for use from several threads.
@@ -35,10 +32,6 @@
         nextAt = maxOf(nextAt, now) + (NANOS_PER_SECOND / share).toLong()
     }
 
-    /** Seconds until a request may be sent. */
-    public fun secondsUntilAdmitted(now: Long): Double =
-        if (admits(now)) 0.0 else (nextAt - now).nanoseconds.toDouble(DurationUnit.SECONDS)
-
     private companion object {
         const val NANOS_PER_SECOND = 1e9
     }
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/state/KnownEndpoint.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/state/KnownEndpoint.kt
@@ -3,15 +3,12 @@
 import dev.almondhaven.decision.traffic.EndpointBelief
 import dev.almondhaven.gateway.net.ConnectionPool
 
-/**
- * A listed endpoint, with the connections to it.
- *
- * @property missingUntil monotonic time until which an entry that lapsed may come back; null while it is listed.
- */
+/** A listed endpoint, with the connections to it. */
 internal class KnownEndpoint(
     val belief: EndpointBelief,
     val pool: ConnectionPool,
 ) {
+    /** Monotonic time until which an entry that lapsed may come back; null while it is listed. */
     var missingUntil: Long? = null
 
     /** Monotonic time at which anything last came from the endpoint. */
--- a/model/src/main/kotlin/dev/almondhaven/traffic/AnswerSigns.kt
+++ b/model/src/main/kotlin/dev/almondhaven/traffic/AnswerSigns.kt
@@ -9,7 +9,6 @@
  * @property sealed whether the endpoint signed the answer.
  * @property notRun whether the endpoint states that it has not run the request.
  * @property load null if not said.
- * @property endpointId who answered; said by health checks and by endpoints that were not meant.
  * @property coldLeft null if not said.
  * @property confidence the model's own opinion of its answer, 0 to 100.
  */
@@ -18,7 +17,6 @@
     public val sealed: Boolean,
     public val notRun: Boolean,
     public val load: ReportedLoad?,
-    public val endpointId: String?,
     public val coldLeft: Duration?,
     public val confidence: Int?,
 )
