Hand unstored billing batches to a peer at a planned stop

A peer holds their copies, but takes them over only 30 s after the router is missing. Ruled out: the holder of a killed router's copies does take them over (BILLING_ORPHANS_TAKEN for all of router 2's outage). Change: a router that stops with unstored batches makes the peer that holds copies answerable for them at once. Conclusion: the planned stop is mended; the kill is not.

--- a/decision/src/main/kotlin/dev/almondhaven/decision/billing/BillingOutbox.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/billing/BillingOutbox.kt
@@ -106,6 +106,9 @@
             .take(most)
             .toList()
 
+    /** The sealed batches that the platform isn't known to hold, oldest first. */
+    public fun unstored(): List<SealedBatch> = unstored.values.map { it.batch }
+
     /** Reports that [holder] has a copy of the batch [name]. */
     public fun copied(
         name: BatchName,
--- a/experiments/src/main/kotlin/dev/almondhaven/experiments/deployment/DeploymentsExperiment.kt
+++ b/experiments/src/main/kotlin/dev/almondhaven/experiments/deployment/DeploymentsExperiment.kt
@@ -37,12 +37,18 @@
         report.table("${sample.name}: promises", listOf("promise", "violations"), findings)
         val examples = result.findings.flatMap { finding -> finding.violations.take(EXAMPLES).map { "- $it" } }
         if (examples.isNotEmpty()) report.text(examples.joinToString("\n"))
+        report.table("${sample.name}: unbilled calls", UNBILLED_COLUMNS, unbilledRows(result.observations))
         report.table("${sample.name}: calls", CALL_COLUMNS, CallKind.entries.map { callRow(it, result.observations) })
         report.table("${sample.name}: refusals", listOf("code", "outcome", "calls"), refusals(result.observations))
         val steps = FaultScripts.FULL.steps.map { listOf("${it.at}", it.name) }
         report.table("${sample.name}: script", listOf("at", "what happens"), steps)
     }
 
+    private fun unbilledRows(seen: Observations): List<List<String>> =
+        UnbilledCalls.of(seen).map {
+            listOf(it.router, "${it.killed}", "${it.calls}", number(it.firstSecond, 1), number(it.lastSecond, 1))
+        }
+
     private fun callRow(
         kind: CallKind,
         seen: Observations,
@@ -71,6 +77,7 @@
         const val DIGITS = 3
         const val MEDIAN = 50.0
         const val TAIL = 99.0
+        val UNBILLED_COLUMNS = listOf("router", "killed", "calls", "first ended at s", "last ended at s")
         val CALL_COLUMNS =
             listOf("kind", "calls") + CallEnd.entries.map { it.name.lowercase() } + listOf("p50 ms", "p99 ms")
     }
--- a/experiments/src/main/kotlin/dev/almondhaven/experiments/deployment/Verdict.kt
+++ b/experiments/src/main/kotlin/dev/almondhaven/experiments/deployment/Verdict.kt
@@ -28,7 +28,7 @@
             Finding("a non-idempotent request runs at most once", doubleOrders()),
             Finding("a refusal that says not run is true", falseRefusals()),
             Finding("an answered order has run", answeredWithoutRun()),
-            Finding("each answered request is billed", unbilled()),
+            Finding("each answered request is billed", unbilled().map { "${it.kind} ${it.requestId} of ${it.router}" }),
             Finding("each request is billed once", billedTwice()),
             Finding("a request runs only on what its organisation is allowed", disallowedRuns()),
             Finding("a withdrawn version gets no new work after $BOUND", withdrawnRuns()),
@@ -57,9 +57,9 @@
             .keys
             .filter { it !in runsByKey }
 
-    private fun unbilled(): List<String> {
+    private fun unbilled(): List<CallRecord> {
         val billed = seen.bills.map { it.requestId }.toSet()
-        return answered().filter { it.requestId !in billed }.map { "${it.kind} ${it.requestId} of ${it.router}" }
+        return answered().filter { it.requestId !in billed }
     }
 
     private fun answered(): List<CallRecord> =
@@ -131,5 +131,8 @@
 
         /** Judges [observations]. */
         public fun of(observations: Observations): List<Finding> = Verdict(observations).findings()
+
+        /** Answered calls of [observations] that nobody was billed for. */
+        public fun unbilled(observations: Observations): List<CallRecord> = Verdict(observations).unbilled()
     }
 }
--- a/router/src/main/kotlin/dev/almondhaven/router/billing/Billing.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/billing/Billing.kt
@@ -57,6 +57,7 @@
         network.handlers.register(HOLD_PATH, ::answerHold)
         network.handlers.register(STORE_PATH, ::answerStore)
         network.handlers.register(STORED_PATH, ::answerStored)
+        network.handlers.register(HAND_OVER_PATH, ::answerHandOver)
         metrics.gauge("almondhaven_billing_records_held", "Billing records that the platform doesn't hold yet.") {
             outbox.held.toDouble()
         }
@@ -83,6 +84,8 @@
             is BillingMessage.Held -> holdCopies(message.message)
             is BillingMessage.Copied -> copied(message)
             BillingMessage.Flush -> flush()
+            is BillingMessage.HandedOver -> message.batches.forEach(::adopt)
+            is BillingMessage.HandOver -> handOver(message)
         }
     }
 
@@ -121,6 +124,19 @@
         outbox.adopt(batch, clock.nanos())
     }
 
+    /** Gives a peer what the platform doesn't hold: this router stops, and can't store it any longer. */
+    private fun handOver(message: BillingMessage.HandOver) {
+        val batches = outbox.unstored()
+        val peer = peerForCopies() ?: return message.done.complete(batches.isEmpty()).let { }
+        val parts =
+            batches.chunked(BATCHES_AT_ONCE).map { part ->
+                post(peer, HAND_OVER_PATH, HandedOverBatches(part), HandedOverBatches.serializer())
+            }
+        CompletableFuture.allOf(*parts.toTypedArray()).whenComplete { _, error ->
+            message.done.complete(error == null && parts.all { accepted(it.join()) })
+        }
+    }
+
     private fun seal(force: Boolean) {
         var batch = outbox.seal(clock.nanos(), System.currentTimeMillis(), force)
         while (batch != null) batch = outbox.seal(clock.nanos(), System.currentTimeMillis(), force)
@@ -202,32 +218,49 @@
         return accepted(duty.offer(BillingMessage.Stored(message.names)))
     }
 
+    private fun answerHandOver(body: String): String {
+        val message = PeerProtocol.json.decodeFromString(HandedOverBatches.serializer(), body)
+        return accepted(duty.offer(BillingMessage.HandedOver(message.batches)))
+    }
+
     private fun accepted(taken: Boolean): String =
         PeerProtocol.json.encodeToString(BillingAccepted.serializer(), BillingAccepted(taken))
 
-    /** Seals what is open, and waits a while for the platform to hold everything. */
+    /** Seals what is open, waits a while for the platform to hold everything, and hands a peer what is left. */
     override fun close() {
         duty.offer(BillingMessage.Flush)
         val end = clock.nanos() + CLOSE_PATIENCE.inWholeNanoseconds
         do {
             TimeUnit.MILLISECONDS.sleep(TICK.inWholeMilliseconds)
         } while (unsettled() && clock.nanos() - end < 0)
-        if (outbox.held > 0) LogEvent.BILLING_LEFT_UNSTORED.log(logger) { "records=${outbox.held}" }
+        if (outbox.held > 0) leave()
         duty.stop()
         writer.close()
     }
 
+    private fun leave() {
+        val records = outbox.held
+        val done = CompletableFuture<Boolean>()
+        duty.offer(BillingMessage.HandOver(done))
+        val taken = done.completeOnTimeout(false, HAND_OVER_PATIENCE.inWholeMilliseconds, TimeUnit.MILLISECONDS).join()
+        LogEvent.BILLING_LEFT_UNSTORED.log(logger) { "records=$records takenByPeer=$taken" }
+    }
+
     private fun unsettled(): Boolean = outbox.held > 0 || duty.waiting > 0 || writer.unwritten > 0
 
     private companion object {
         const val HOLD_PATH = "billing/hold"
         const val STORE_PATH = "billing/store"
         const val STORED_PATH = "billing/stored"
+        const val HAND_OVER_PATH = "billing/hand-over"
         const val RING = 16_384
         const val BATCHES_AT_ONCE = 64
         const val RELEASED_AT_ONCE = 16
         const val MOST_ASKERS = 20_000
         val TICK = 50.milliseconds
         val CLOSE_PATIENCE = 3_000.milliseconds
+
+        /** A peer takes batches into memory; its answer takes a few round trips at most. */
+        val HAND_OVER_PATIENCE = 1_000.milliseconds
     }
 }
--- a/router/src/main/kotlin/dev/almondhaven/router/billing/BillingMessages.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/billing/BillingMessages.kt
@@ -6,6 +6,7 @@
 import dev.almondhaven.decision.membership.Member
 import dev.almondhaven.model.RouterId
 import kotlinx.serialization.Serializable
+import java.util.concurrent.CompletableFuture
 
 /** Asks a peer to hold copies of [batches] until they are released, and to drop those in [released]. */
 @Serializable
@@ -27,6 +28,12 @@
     val names: List<BatchName>,
 )
 
+/** Makes a peer answerable for storing [batches] from now on. */
+@Serializable
+internal data class HandedOverBatches(
+    val batches: List<SealedBatch>,
+)
+
 /** Says whether a message was taken. */
 @Serializable
 internal data class BillingAccepted(
@@ -55,4 +62,14 @@
 
     /** Seal what is open at once. */
     data object Flush : BillingMessage
+
+    /** A router that stops has made this one answerable for [batches]. */
+    data class HandedOver(
+        val batches: List<SealedBatch>,
+    ) : BillingMessage
+
+    /** Make a peer answerable for what isn't stored; [done] tells whether it took everything. */
+    class HandOver(
+        val done: CompletableFuture<Boolean>,
+    ) : BillingMessage
 }
--- a/router/src/test/kotlin/dev/almondhaven/router/TestDeployment.kt
+++ b/router/src/test/kotlin/dev/almondhaven/router/TestDeployment.kt
@@ -15,6 +15,7 @@
 import dev.almondhaven.model.FailureDomainId
 import dev.almondhaven.router.settings.DrainSettings
 import dev.almondhaven.router.settings.EndpointSettings
+import dev.almondhaven.router.settings.PeerSettings
 import dev.almondhaven.router.settings.PlatformSettings
 import dev.almondhaven.router.settings.ProcessSettings
 import dev.almondhaven.router.settings.RouterSettings
@@ -36,6 +37,7 @@
     behaviour: EngineBehaviour = EngineBehaviour(),
     moreEngines: Int = 0,
     endpointSettings: EndpointSettings = EndpointSettings(),
+    peerSettings: PeerSettings? = null,
     platformOf: (ObjectStore) -> ObjectStore = { it },
 ) : AutoCloseable {
     val objects = InMemoryObjectStore()
@@ -55,6 +57,7 @@
             sessions = SessionSettings(keys = listOf(SessionKeySetting("test", "x".repeat(32)))),
             endpoints = endpointSettings,
             drain = DrainSettings(balancerDelay = 200.milliseconds),
+            peers = peerSettings,
         )
     val router = Router.start(settings, platformOf(objects))
     val client: WebClient = WebClient.of("http://127.0.0.1:${router.port}")
