Keep sessions where they ran, spend repeats from a window, let doubt decide how long to wait for a larger model

The gap of a session was counted from the start of its last request, not from its end. Sessions are now remembered by the version that ran them (SessionVersions), before an order too. Repeats are counted over the window that the deployment states (RepeatWindow). ModelSizing now waits the longer the greater the doubt, and keeps an answer where only a late one is to be had.

--- a/decision/src/main/kotlin/dev/almondhaven/decision/traffic/ModelSizing.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/traffic/ModelSizing.kt
@@ -11,7 +11,7 @@
  *
  * Answers the load pattern of a burst or a loss of engines: every answer of the largest model takes the reading time of
  * ten small ones, and once all engines are busy it makes the answers of others late. Then another model is asked only
- * where it can begin well within the time left; the rest keep the answer they have.
+ * where it can begin within a part of the time left that grows with the doubt in the answer at hand; the rest keep it.
  */
 public class ModelSizing(
     private val leastConfidence: Int = LEAST_CONFIDENCE,
@@ -47,8 +47,8 @@
     ): String? {
         if (model == models.last() || confidence == null || confidence >= leastConfidence) return null
         val next = models[models.indexOf(model) + 1]
-        val chosen = if (confidence >= nextConfidence || prefersNext(models, next, outlook)) next else models.last()
-        return chosen.takeIf { outlook.backlogMillis < CALM_BACKLOG_MILLIS || soon(it, outlook) }
+        val preferred = if (confidence >= nextConfidence || prefersNext(models, next, outlook)) next else models.last()
+        return listOf(preferred, next).firstOrNull { worthWaitingFor(it, confidence, outlook) }
     }
 
     private fun prefersNext(
@@ -58,17 +58,36 @@
     ): Boolean =
         outlook.expectedMillis(models.last()) >= outlook.leftMillis && outlook.expectedMillis(next) < outlook.leftMillis
 
-    private fun soon(
+    /**
+     * Whether an answer of [model] is likely worth more than the one at hand: a late answer is worth little beside one that
+     * may be right, and while engines are busy the less the answer at hand is worth, the longer it pays to wait.
+     */
+    private fun worthWaitingFor(
         model: String,
+        confidence: Int,
         outlook: SizingOutlook,
-    ): Boolean = outlook.expectedMillis(model) < outlook.leftMillis * SOON
+    ): Boolean {
+        val expected = outlook.expectedMillis(model)
+        if (expected >= outlook.leftMillis && confidence >= HOPELESS_CONFIDENCE) return false
+        return outlook.backlogMillis < CALM_BACKLOG_MILLIS || expected < outlook.leftMillis * soon(confidence)
+    }
+
+    private fun soon(confidence: Int): Double = LEAST_SOON + (MOST_SOON - LEAST_SOON) * (1 - confidence / FULL_DOUBT)
 
     public companion object {
         /** With less reading waiting at an engine than this, another answer delays nobody much. */
         private const val CALM_BACKLOG_MILLIS = 300.0
 
-        /** Part of the time left within which a model must be expected to begin while engines are busy. */
-        private const val SOON = 0.5
+        /**
+         * Part of the time left within which a model must be expected to begin while engines are busy: the first for an
+         * answer just below [LEAST_CONFIDENCE], the second for one of no confidence at all.
+         */
+        private const val LEAST_SOON = 0.5
+        private const val MOST_SOON = 0.9
+        private const val FULL_DOUBT = 60.0
+
+        /** An answer below this confidence is right less often than a late one is worth beside one in time. */
+        private const val HOPELESS_CONFIDENCE = 25
 
         /** Prompts that take less of the objective than this need no further look. */
         private const val SHORT = 0.5
--- /dev/null
+++ b/decision/src/test/kotlin/dev/almondhaven/decision/traffic/RepeatWindowTest.kt
@@ -0,0 +1,104 @@
+package dev.almondhaven.decision.traffic
+
+import dev.almondhaven.decision.retry.RetryBudget
+import io.kotest.property.Arb
+import io.kotest.property.arbitrary.boolean
+import io.kotest.property.arbitrary.int
+import io.kotest.property.arbitrary.list
+import io.kotest.property.arbitrary.pair
+import io.kotest.property.checkAll
+import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThanOrEqualTo
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class RepeatWindowTest {
+    private fun at(millis: Int): Long = millis.milliseconds.inWholeNanoseconds
+
+    @Nested
+    inner class `a window` {
+        private val budget = RepeatWindow(10.seconds, ratio = 0.5, slack = 2.0)
+
+        @Test
+        fun `gives the slack before any request, and a part of each request afterwards`() {
+            val before = List(3) { budget.trySpend(at(0)) }
+            repeat(4) { budget.requested(at(100)) }
+            val after = List(3) { budget.trySpend(at(200)) }
+
+            expectThat(before + after).isEqualTo(listOf(true, true, false, true, true, false))
+        }
+
+        @Test
+        fun `keeps a reserve for those that may spend it`() {
+            expectThat(
+                listOf(budget.trySpend(at(0), reserve = 2.0), budget.trySpend(at(0))),
+            ).isEqualTo(listOf(false, true))
+        }
+
+        @Test
+        fun `forgets what is older than its span`() {
+            repeat(2) { budget.trySpend(at(0)) }
+
+            expectThat(listOf(9_400, 10_000).map { budget.available(at(it)) }).isEqualTo(listOf(0.0, 2.0))
+        }
+    }
+
+    @Nested
+    inner class `over any run of requests and repeats` {
+        @Test
+        fun `repeats never exceed the part of the requests of the last span and the slack`() {
+            val events = Arb.list(Arb.pair(Arb.int(0..400), Arb.boolean()), 1..200)
+            runBlocking {
+                checkAll(500, events) { steps ->
+                    val budget = RepeatWindow(10.seconds, ratio = 0.7, slack = 3.0)
+                    val requests = ArrayList<Int>()
+                    val repeats = ArrayList<Int>()
+                    var now = 0
+                    steps.forEach { (pause, isRequest) ->
+                        now += pause
+                        if (isRequest) {
+                            budget.requested(at(now))
+                            requests += now
+                        } else if (budget.trySpend(at(now))) {
+                            repeats += now
+                            val spent = repeats.count { it > now - 9_500 }
+                            expectThat(
+                                spent.toDouble(),
+                            ).isLessThanOrEqualTo(0.7 * requests.count { it > now - 10_000 } + 3)
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    @Nested
+    inner class `a clump of requests that need a larger model` {
+        /** One of 35 routers: eight requests a second, then twelve at once that all need another model. */
+        private fun served(spend: (Long) -> Boolean): Int = (1..12).count { spend(at(10_000)) }
+
+        @Test
+        fun `is served from what calm seconds have earned, where a small store runs dry`() {
+            val window = RepeatWindow(10.seconds, ratio = 0.81, slack = 5.0)
+            val store = RetryBudget(earnedPerSuccess = 0.81, capacity = 5)
+            (0 until 10_000 step 125).forEach {
+                window.requested(at(it))
+                store.recordSuccess()
+            }
+
+            expectThat(
+                listOf(
+                    served { window.trySpend(it, reserve = 3.0) },
+                    served {
+                        store.available >= 3 &&
+                            store.tryRetry()
+                    },
+                ),
+            ).isEqualTo(listOf(12, 3))
+        }
+    }
+}
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Attempt.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Attempt.kt
@@ -64,6 +64,7 @@
             belief.cache.read(demand.model, demand.promptParts)
         }
         belief.started(reading)
+        call.demand.session?.let { context.rollOuts.runBegins(call.service, it, listing.version) }
         context.peers.readingBegins(readingKey(), listing.id, reading)
         if (belief.cold.cold(now)) {
             belief.cold.sent(
@@ -279,6 +280,7 @@
         context.watchdog.release(this)
         endReading()
         belief.ended()
+        call.demand.session?.let { context.rollOuts.runEnds(call.service, it) }
     }
 
     private fun noteSuccess() {
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Exchange.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Exchange.kt
@@ -108,8 +108,7 @@
         backlogMillis = outlook.backlogMillis.toInt()
         if (begun || runs + 2 > call.route.mostAttempts) return null
         val larger = context.sizing.instead(call.route.models, asked, confidence, outlook) ?: return null
-        val budget = context.directory.budgetOf(call.service)
-        return larger.takeIf { budget.available >= RESERVED_REPEATS && budget.tryRetry() }
+        return larger.takeIf { spendRepeat(reserve = RESERVED_REPEATS) }
     }
 
     private fun outlook(): SizingOutlook {
@@ -174,9 +173,12 @@
         spends: Boolean = true,
     ) {
         val repeats = mayRun() && timeLeft() > LEAST_TIME_TO_REPEAT
-        if (repeats && (!spends || context.directory.budgetOf(call.service).tryRetry())) dispatch() else giveUp(reason)
+        if (repeats && (!spends || spendRepeat())) dispatch() else giveUp(reason)
     }
 
+    private fun spendRepeat(reserve: Double = 0.0): Boolean =
+        context.directory.budgetOf(call.service).trySpend(context.clock.nanos(), reserve)
+
     private fun giveUp(reason: String) {
         val failure = lastFailure
         when {
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/state/Directory.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/state/Directory.kt
@@ -1,7 +1,7 @@
 package dev.almondhaven.gateway.state
 
-import dev.almondhaven.decision.retry.RetryBudget
 import dev.almondhaven.decision.traffic.EndpointBelief
+import dev.almondhaven.decision.traffic.RepeatWindow
 import dev.almondhaven.gateway.net.ConnectionPool
 import dev.almondhaven.model.EndpointId
 import dev.almondhaven.model.LogEvent
@@ -56,13 +56,13 @@
     /** Endpoints of [service] that are listed, those included that may come back. */
     fun endpointsOf(service: ServiceId): Collection<KnownEndpoint> = services[service]?.endpoints?.values.orEmpty()
 
-    fun budgetOf(service: ServiceId): RetryBudget = of(service).budget
+    fun budgetOf(service: ServiceId): RepeatWindow = of(service).budget
 
     private fun of(service: ServiceId): ServiceEndpoints =
         services.getOrPut(service) {
             ServiceEndpoints(service) {
-                val slack = (bounds.retrySlack * EARNED_PART / routers).toInt().coerceAtLeast(1)
-                RetryBudget((bounds.retryRatio * EARNED_PART).coerceIn(0.0, 1.0), slack)
+                val slack = bounds.retrySlack * EARNED_PART / routers
+                RepeatWindow(bounds.retryWindow, bounds.retryRatio * EARNED_PART, slack)
             }
         }
 
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/state/RollOuts.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/state/RollOuts.kt
@@ -3,6 +3,7 @@
 import com.google.common.hash.Hashing
 import dev.almondhaven.decision.traffic.RollOutEvidence
 import dev.almondhaven.decision.traffic.RollOutPlan
+import dev.almondhaven.decision.traffic.SessionVersions
 import dev.almondhaven.decision.traffic.VersionChoice
 import dev.almondhaven.model.LogEvent
 import dev.almondhaven.model.NanoClock
@@ -40,17 +41,8 @@
         var asked: RollOutState? = null
     }
 
-    private class Pinned(
-        val version: VersionChoice,
-        val at: Long,
-    )
-
     private val moves = HashMap<ServiceId, Move>()
-    private val sessions =
-        object : LinkedHashMap<String, Pinned>(16, 0.75f, true) {
-            override fun removeEldestEntry(eldest: MutableMap.MutableEntry<String, Pinned>): Boolean =
-                size > MOST_SESSIONS
-        }
+    private val sessions = HashMap<ServiceId, SessionVersions>()
 
     fun start() {
         loop.scheduleWithFixedDelay(::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS)
@@ -117,17 +109,29 @@
         old: VersionChoice,
         new: VersionChoice,
     ): VersionChoice {
-        val now = clock.nanos()
         val elapsed = clock.elapsed(move.since)
         val chosen = if (part(session ?: requestId) < move.plan.share(elapsed)) new else old
-        if (session == null) return chosen
-        val key = "${move.order.service}/$session"
-        val held = sessions[key]?.takeIf { now - it.at < bounds.sessionGap.inWholeNanoseconds }
-        val kept = if (held == null || move.plan.mayMove(elapsed)) chosen else held.version
-        sessions[key] = Pinned(kept, now)
-        return kept
+        if (session == null || move.plan.mayMove(elapsed)) return chosen
+        val held = sessionsOf(move.order.service).versionOf(session, clock.nanos()) ?: return chosen
+        return if (held == move.order.target) new else old
     }
 
+    private fun sessionsOf(service: ServiceId): SessionVersions =
+        sessions.getOrPut(service) { SessionVersions(bounds.sessionGap) }
+
+    /** Notes that an endpoint of [version] begins to run a request of [session]. */
+    fun runBegins(
+        service: ServiceId,
+        session: String,
+        version: String,
+    ): Unit = sessionsOf(service).began(session, version)
+
+    /** Notes that a run of [session] has ended. */
+    fun runEnds(
+        service: ServiceId,
+        session: String,
+    ): Unit = sessionsOf(service).ended(session, clock.nanos())
+
     private fun part(text: String): Double {
         val hash = Hashing.farmHashFingerprint64().hashUnencodedChars(text).asLong()
         return (hash ushr UNUSED_BITS).toDouble() / (1L shl (Long.SIZE_BITS - UNUSED_BITS))
@@ -203,7 +207,6 @@
         const val TICK_MILLIS = 200L
         const val SPREAD_MILLIS = 400L
         const val UNUSED_BITS = 11
-        const val MOST_SESSIONS = 20_000
         val PATIENCE = 1_000.milliseconds
     }
 }
--- /dev/null
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/state/RollOutsTest.kt
@@ -0,0 +1,125 @@
+package dev.almondhaven.gateway.state
+
+import dev.almondhaven.decision.traffic.VersionChoice
+import dev.almondhaven.model.NanoClock
+import dev.almondhaven.model.ServiceId
+import dev.almondhaven.platform.StoreCall
+import dev.almondhaven.traffic.RollOutOrder
+import dev.almondhaven.traffic.RollOutState
+import dev.almondhaven.traffic.TrafficBounds
+import io.netty.channel.embedded.EmbeddedChannel
+import org.apache.commons.rng.simple.RandomSource
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class RollOutsTest {
+    private object DeafStore : Store {
+        override val returnedAt: Long? = null
+
+        override fun call(
+            call: StoreCall,
+            patience: Duration,
+            onAnswer: (StoreAnswer?) -> Unit,
+        ): () -> Unit = {}
+
+        override fun whenRegained(action: () -> Unit) = Unit
+    }
+
+    private var now = 0L
+    private val rollOuts =
+        RollOuts(
+            TrafficBounds(8.seconds, 5.seconds, 0.9, 50.0, 10.seconds, sessionGap = 5.seconds),
+            DeafStore,
+            EmbeddedChannel().eventLoop(),
+            NanoClock { now },
+            RandomSource.SPLIT_MIX_64.create(1L),
+        )
+    private val service = ServiceId("engines")
+    private val old = VersionChoice.Except("v2")
+    private val new = VersionChoice.Only("v2")
+
+    private fun versionFor(
+        session: String,
+        millis: Long,
+    ): VersionChoice {
+        now = millis.milliseconds.inWholeNanoseconds
+        return rollOuts.versionFor(service, session, "request")
+    }
+
+    private fun run(
+        session: String,
+        version: String,
+        from: Long,
+        to: Long,
+    ) {
+        now = from.milliseconds.inWholeNanoseconds
+        rollOuts.runBegins(service, session, version)
+        now = to.milliseconds.inWholeNanoseconds
+        rollOuts.runEnds(service, session)
+    }
+
+    private fun order(): Unit =
+        rollOuts.ordered(RollOutOrder(service, "v2", 24.seconds, RollOutState.RUNNING, revision = 1, orderedAt = 1))
+
+    /** A session that tries the new version from the start of a roll-out. */
+    private fun trialSession(): String =
+        generateSequence(0) { it + 1 }.map { "session-$it" }.first { versionFor(it, 0) == new }
+
+    @Nested
+    inner class `in the first half of a roll-out a session that tries the new version` {
+        @Test
+        fun `stays on the old one where that ran it, as before the new endpoints are listed`() {
+            order()
+            val session = trialSession()
+            run(session, "v1", from = 100, to = 900)
+
+            expectThat(listOf(1_000L, 5_800L, 6_000L).map { versionFor(session, it) }).isEqualTo(listOf(old, old, new))
+        }
+
+        @Test
+        fun `stays on the old one when its last run began long ago and has just ended`() {
+            order()
+            val session = trialSession()
+            run(session, "v1", from = 0, to = 6_000)
+
+            expectThat(versionFor(session, 10_000)).isEqualTo(old)
+        }
+
+        @Test
+        fun `stays on the old one when it ran before the order`() {
+            order()
+            val session = trialSession()
+            rollOuts.withdrawn(service)
+            run(session, "v1", from = 0, to = 100)
+            order()
+
+            expectThat(versionFor(session, 1_000)).isEqualTo(old)
+        }
+
+        @Test
+        fun `stays on the new one where that ran it`() {
+            order()
+            val session = trialSession()
+            run(session, "v2", from = 100, to = 900)
+
+            expectThat(versionFor(session, 1_000)).isEqualTo(new)
+        }
+    }
+
+    @Nested
+    inner class `in the second half a session` {
+        @Test
+        fun `moves whatever ran it`() {
+            order()
+            val session = trialSession()
+            run(session, "v1", from = 12_000, to = 12_400)
+
+            expectThat(versionFor(session, 12_600)).isEqualTo(new)
+        }
+    }
+}
--- a/model/src/main/kotlin/dev/almondhaven/traffic/TrafficBounds.kt
+++ b/model/src/main/kotlin/dev/almondhaven/traffic/TrafficBounds.kt
@@ -7,7 +7,7 @@
  *
  * @property stopGrace from the request to stop to the end by force.
  * @property revocation within this time a key that was taken away no longer works.
- * @property retryRatio repeats that a service may get for each request, over some seconds.
+ * @property retryRatio repeats that a service may get for each request, in any span of [retryWindow].
  * @property retrySlack repeats beyond these.
  * @property sessionGap requests of a session that follow within this time belong together.
  */
@@ -16,5 +16,6 @@
     public val revocation: Duration,
     public val retryRatio: Double,
     public val retrySlack: Double,
+    public val retryWindow: Duration,
     public val sessionGap: Duration,
 )
