Announce sessions of the old version during a roll-out; prove freshness by the configuration's watch

Routers now tell each other, by the datagrams that exist, which sessions of the trial part run or ran on the old version; SessionVersions keeps what it hears. RollOutsTest, SessionVersionsTest.

The watch of the configuration is now the proof: a quiet end after its full time shows that nothing changed until then (ConfigurationProofTest). Endpoint changes are grouped over a third of the drain time (0.67 s and 1 s), watches wait 28 s.

--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/Gateway.kt
@@ -28,6 +28,7 @@
 import org.apache.commons.rng.simple.RandomSource
 import java.net.InetSocketAddress
 import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -47,9 +48,9 @@
     private val lifecycle = Lifecycle(clock)
     private val directory = Directory(place.bounds, loop, clock)
     private val store = StoreLink(loop, place.storeAddress, clock)
-    private val proof = ConfigurationProof(place.bounds, store, loop, clock, directory::configure)
-    private val rollOuts = RollOuts(place.bounds, store, loop, clock, random)
+    private val proof = ConfigurationProof(place.bounds, store, loop, clock, ::configure)
     private val peers = PeerLink(group, place.peerAddress, loop, clock, directory)
+    private val rollOuts = RollOuts(place.bounds, store, loop, clock, random, peers::sessionRuns)
     private val context =
         CallContext(
             directory,
@@ -79,12 +80,8 @@
         balancer.listen(place.readyAddress)
         peers.listen()
         loop.execute {
+            peers.onSession = rollOuts::heard
             proof.start()
-            follow(StoreKind.CONFIGURATION, { it.forEach(::configure) }, {
-                it.forEach { change ->
-                    configure(change.entry)
-                }
-            })
             follow(StoreKind.ENDPOINTS, ::endpointsListed, ::endpointsChanged)
             follow(StoreKind.EVACUATIONS, ::evacuationsListed, ::evacuationsChanged)
             follow(StoreKind.ROLL_OUTS, {
@@ -103,7 +100,15 @@
         kind: StoreKind,
         onList: (List<StoredObject>) -> Unit,
         onChanges: (List<StoreChange>) -> Unit,
-    ): Unit = KindWatch(kind, store, loop, random, onList, onChanges).start()
+    ): Unit = KindWatch(kind, store, loop, random, groupingOf(kind), onList, onChanges).start()
+
+    /** How long changes of one kind may wait for others, so that one call brings them together. */
+    private fun groupingOf(kind: StoreKind): Duration =
+        when (kind) {
+            StoreKind.ENDPOINTS -> place.bounds.drain / ENDPOINT_GROUPING_PARTS
+            StoreKind.ROUTERS -> ROUTER_GROUPING
+            else -> GROUPING
+        }
 
     private fun configure(entry: StoredObject) {
         if (entry.name != StoreCall.CONFIGURATION_NAME) return
@@ -229,6 +234,14 @@
     private fun busy(): Boolean = loop.submit<Boolean> { callers.busy }.get()
 
     companion object {
+        /** Small beside the seconds within which an order of the operator is in force. */
+        private val GROUPING = 150.milliseconds
+
+        /** Endpoints change most often, in groups during roll-outs; a leaving one is known in a third of its time. */
+        private const val ENDPOINT_GROUPING_PARTS = 3
+
+        /** Who shares the bounds changes only when routers start. */
+        private val ROUTER_GROUPING = 2.seconds
         private val REGISTER_PATIENCE = 1_000.milliseconds
         private val REGISTER_AGAIN = 1.seconds
 
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/Rehearsal.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/Rehearsal.kt
@@ -53,7 +53,7 @@
     fun run(): Int {
         val endpoint = serve(::endpointAnswer)
         val store = serve { storeAnswer(it, endpoint) }
-        val bounds = TrafficBounds(1.seconds, 5.seconds, 0.9, 50.0, 10.seconds, 5.seconds)
+        val bounds = TrafficBounds(1.seconds, 2.seconds, 5.seconds, 0.9, 50.0, 10.seconds, 5.seconds)
         val place =
             RouterPlace(
                 "rehearsal",
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Attempt.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Attempt.kt
@@ -280,7 +280,7 @@
         context.watchdog.release(this)
         endReading()
         belief.ended()
-        call.demand.session?.let { context.rollOuts.runEnds(call.service, it) }
+        call.demand.session?.let { context.rollOuts.runEnds(call.service, it, belief.listing.version) }
     }
 
     private fun noteSuccess() {
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/peer/PeerLink.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/peer/PeerLink.kt
@@ -15,7 +15,6 @@
 import io.netty.channel.socket.DatagramPacket
 import io.netty.channel.socket.nio.NioDatagramChannel
 import kotlinx.serialization.SerializationException
-import kotlinx.serialization.builtins.ListSerializer
 import kotlinx.serialization.json.Json
 import java.net.InetSocketAddress
 import java.util.concurrent.TimeUnit
@@ -24,8 +23,9 @@
 
 /**
  * Tells the other routers which endpoints read long prompts for this one, and hears the same of them: an engine that reads
- * a long prompt delays whatever else comes to it, and its own reports are too old to show that. Datagrams may be lost;
- * what they say only ever shifts a choice between endpoints. Lives on the event loop, but for [listen].
+ * a long prompt delays whatever else comes to it, and its own reports are too old to show that. During a roll-out it also
+ * tells which sessions still run on the old version, since the requests of a session reach different routers. Datagrams may
+ * be lost; what they say only ever shifts a choice between endpoints. Lives on the event loop, but for [listen].
  */
 internal class PeerLink(
     private val group: EventLoopGroup,
@@ -36,7 +36,11 @@
 ) {
     private var channel: Channel? = null
     private var peers: List<InetSocketAddress> = emptyList()
-    private val pending = ArrayList<ReadingNote>()
+    private val readings = ArrayList<ReadingNote>()
+    private val sessions = ArrayList<SessionNote>()
+
+    /** Hears what other routers say of sessions. */
+    var onSession: (SessionNote) -> Unit = {}
 
     /** Opens the port. */
     fun listen() {
@@ -74,37 +78,56 @@
     private fun isLong(millis: Double): Boolean =
         millis >= SHORTEST_MILLIS * maxOf(1, directory.routers / ROUTERS_AT_SHORTEST)
 
+    /** Announces which version a session runs on, or ran on until now. */
+    fun sessionRuns(note: SessionNote) {
+        if (peers.isEmpty()) return
+        scheduleFlush()
+        sessions += note
+    }
+
     private fun send(note: ReadingNote) {
         if (peers.isEmpty()) return
-        pending += note
-        if (pending.size == 1) loop.schedule(::flush, GROUPING_MILLIS, TimeUnit.MILLISECONDS)
+        scheduleFlush()
+        readings += note
+    }
+
+    private fun scheduleFlush() {
+        if (readings.isEmpty() && sessions.isEmpty()) {
+            loop.schedule(::flush, GROUPING_MILLIS, TimeUnit.MILLISECONDS)
+        }
     }
 
     private fun flush() {
-        val bytes = json.encodeToString(NOTES, pending).toByteArray()
-        pending.clear()
+        val messages =
+            readings.chunked(NOTES_AT_ONCE) { PeerMessage(readings = it.toList()) } +
+                sessions.chunked(NOTES_AT_ONCE) { PeerMessage(sessions = it.toList()) }
+        readings.clear()
+        sessions.clear()
         val open = channel ?: return
-        peers.forEach { open.write(DatagramPacket(Unpooled.wrappedBuffer(bytes), it)) }
+        messages.map { json.encodeToString(PeerMessage.serializer(), it).toByteArray() }.forEach { bytes ->
+            peers.forEach { open.write(DatagramPacket(Unpooled.wrappedBuffer(bytes), it)) }
+        }
         open.flush()
     }
 
     private fun received(text: String) {
-        val notes =
+        val message =
             try {
-                json.decodeFromString(NOTES, text)
+                json.decodeFromString(PeerMessage.serializer(), text)
             } catch (failure: SerializationException) {
                 LogEvent.PEER_MESSAGE_BAD.log(logger) { "reason=${failure.message?.lineSequence()?.first()}" }
                 return
             }
-        notes.forEach { note ->
-            val reading = directory.endpoint(EndpointId(note.endpoint))?.belief?.remoteReading ?: return@forEach
-            if (note.millis >
-                0
-            ) {
-                reading.began(note.key, note.millis.toDouble(), clock.nanos())
-            } else {
-                reading.ended(note.key)
-            }
+        message.readings.forEach(::heard)
+        message.sessions.forEach(onSession)
+    }
+
+    private fun heard(note: ReadingNote) {
+        val reading = directory.endpoint(EndpointId(note.endpoint))?.belief?.remoteReading ?: return
+        if (note.millis > 0) {
+            reading.began(note.key, note.millis.toDouble(), clock.nanos())
+        } else {
+            reading.ended(note.key)
         }
     }
 
@@ -123,7 +146,9 @@
 
     private companion object {
         val json = Json { ignoreUnknownKeys = true }
-        val NOTES = ListSerializer(ReadingNote.serializer())
+
+        /** Notes of about 60 bytes fit into one packet of the network. */
+        const val NOTES_AT_ONCE = 16
 
         /** About two steps of a busy engine; shorter readings delay nobody noticeably. */
         const val SHORTEST_MILLIS = 60.0
--- /dev/null
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/peer/SessionNote.kt
@@ -0,0 +1,17 @@
+package dev.almondhaven.gateway.peer
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/**
+ * Tells other routers which version of a service a session last ran on.
+ *
+ * @property running whether the run goes on; otherwise it has just ended.
+ */
+@Serializable
+internal data class SessionNote(
+    @SerialName("s") val service: String,
+    @SerialName("i") val session: String,
+    @SerialName("v") val version: String,
+    @SerialName("r") val running: Boolean,
+)
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/state/KindWatch.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/state/KindWatch.kt
@@ -20,6 +20,7 @@
  * Follows one kind of objects: lists it, then watches from the list's revision. Lists anew when the history is gone.
  * Lives on the event loop.
  *
+ * @property grouping pause after a change, in which others may follow.
  * @property onList called with a whole list.
  * @property onChanges called with changes since then.
  */
@@ -28,6 +29,7 @@
     private val store: Store,
     private val loop: EventLoop,
     private val random: UniformRandomProvider,
+    private val grouping: Duration,
     private val onList: (List<StoredObject>) -> Unit,
     private val onChanges: (List<StoreChange>) -> Unit,
 ) {
@@ -91,16 +93,9 @@
         failures = 0
         if (changes.changed.isNotEmpty()) onChanges(changes.changed)
         // Changes come in groups; a short pause lets one call bring the rest of a group.
-        loop.schedule({ watch(changes.revision) }, grouping().inWholeMilliseconds, TimeUnit.MILLISECONDS)
+        loop.schedule({ watch(changes.revision) }, grouping.inWholeMilliseconds, TimeUnit.MILLISECONDS)
     }
 
-    private fun grouping(): Duration =
-        when (kind) {
-            StoreKind.ENDPOINTS -> ENDPOINT_GROUPING
-            StoreKind.ROUTERS -> ROUTER_GROUPING
-            else -> GROUPING
-        }
-
     private fun retry(
         answer: StoreAnswer?,
         action: () -> Unit,
@@ -120,16 +115,7 @@
         const val SHOWN = 120
 
         /** The store ends a watch after 30 s at most; shorter ones leave room for its answer. */
-        val WATCH_WAIT = 20.seconds
-
-        /** Small beside the two seconds within which a configuration is in force. */
-        val GROUPING = 150.milliseconds
-
-        /** Endpoints change most often, in groups during roll-outs; a leaving one has two seconds. */
-        val ENDPOINT_GROUPING = 500.milliseconds
-
-        /** Who shares the bounds changes only when routers start. */
-        val ROUTER_GROUPING = 2.seconds
+        val WATCH_WAIT = 28.seconds
 
         /** A slow store takes some hundred milliseconds for an answer. */
         val CALL_PATIENCE = 1_500.milliseconds
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/state/RollOuts.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/state/RollOuts.kt
@@ -1,10 +1,12 @@
 package dev.almondhaven.gateway.state
 
 import com.google.common.hash.Hashing
+import dev.almondhaven.decision.traffic.CurrentSession
 import dev.almondhaven.decision.traffic.RollOutEvidence
 import dev.almondhaven.decision.traffic.RollOutPlan
 import dev.almondhaven.decision.traffic.SessionVersions
 import dev.almondhaven.decision.traffic.VersionChoice
+import dev.almondhaven.gateway.peer.SessionNote
 import dev.almondhaven.model.LogEvent
 import dev.almondhaven.model.NanoClock
 import dev.almondhaven.model.ServiceId
@@ -31,6 +33,7 @@
     private val loop: EventLoop,
     private val clock: NanoClock,
     private val random: UniformRandomProvider,
+    private val announce: (SessionNote) -> Unit,
 ) {
     private class Move(
         var order: RollOutOrder,
@@ -53,6 +56,7 @@
         val held = moves[order.service]
         if (held == null || held.order.orderedAt != order.orderedAt || held.order.target != order.target) {
             moves[order.service] = Move(order, clock.nanos())
+            announceCurrent(order)
         } else {
             held.order = order
         }
@@ -124,13 +128,41 @@
         service: ServiceId,
         session: String,
         version: String,
-    ): Unit = sessionsOf(service).began(session, version)
+    ) {
+        sessionsOf(service).began(session, version, clock.nanos())
+        announceHeld(service, CurrentSession(session, version, running = true))
+    }
 
-    /** Notes that a run of [session] has ended. */
+    /** Notes that a run of [session] has ended at an endpoint of [version]. */
     fun runEnds(
         service: ServiceId,
         session: String,
-    ): Unit = sessionsOf(service).ended(session, clock.nanos())
+        version: String,
+    ) {
+        sessionsOf(service).ended(session, clock.nanos())
+        announceHeld(service, CurrentSession(session, version, running = false))
+    }
+
+    /** Takes what another router says of a session. */
+    fun heard(note: SessionNote): Unit =
+        sessionsOf(ServiceId(note.service)).heard(note.session, note.version, note.running, clock.nanos())
+
+    /** Tells the other routers which sessions must not try the new version yet: their requests may reach any router. */
+    private fun announceCurrent(order: RollOutOrder): Unit =
+        sessionsOf(order.service).current(clock.nanos()).forEach { announceHeld(order.service, it) }
+
+    private fun announceHeld(
+        service: ServiceId,
+        session: CurrentSession,
+    ) {
+        val move = moves[service] ?: return
+        val elapsed = clock.elapsed(move.since)
+        val settled = move.order.state == RollOutState.DONE || move.order.state == RollOutState.ROLLED_BACK
+        if (settled || move.plan.mayMove(elapsed) || session.version == move.order.target) return
+        if (part(session.id) < move.plan.share(elapsed)) {
+            announce(SessionNote(service.value, session.id, session.version, session.running))
+        }
+    }
 
     private fun part(text: String): Double {
         val hash = Hashing.farmHashFingerprint64().hashUnencodedChars(text).asLong()
--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/GatewayScene.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/GatewayScene.kt
@@ -24,7 +24,7 @@
     private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
     private val store = CallerServer(group, { CallerLimits.BEFORE_CONFIGURATION }, { false }, storeHandler())
     private val storePort = (store.listen("127.0.0.1:0").localAddress() as InetSocketAddress).port
-    private val bounds = TrafficBounds(1.seconds, 5.seconds, 0.9, 50.0, 10.seconds, 5.seconds)
+    private val bounds = TrafficBounds(1.seconds, 2.seconds, 5.seconds, 0.9, 50.0, 10.seconds, 5.seconds)
     private val gateway =
         Gateway.start(
             RouterPlace(
--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/state/KindWatchTest.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/state/KindWatchTest.kt
@@ -1,6 +1,5 @@
 package dev.almondhaven.gateway.state
 
-import dev.almondhaven.platform.StoreCall
 import dev.almondhaven.platform.StoreChange
 import dev.almondhaven.platform.StoreKind
 import dev.almondhaven.platform.StoredObject
@@ -11,43 +10,15 @@
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
 import java.util.concurrent.TimeUnit
-import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 class KindWatchTest {
-    private class Waiting(
-        val path: String,
-        val onAnswer: (StoreAnswer?) -> Unit,
-    ) {
-        var givenUp = false
-    }
-
-    private class ScriptedStore : Store {
-        val calls = ArrayList<Waiting>()
-        private val actions = ArrayList<() -> Unit>()
-        override val returnedAt: Long? = null
-
-        override fun call(
-            call: StoreCall,
-            patience: Duration,
-            onAnswer: (StoreAnswer?) -> Unit,
-        ): () -> Unit {
-            val waiting = Waiting(call.path, onAnswer).also { calls += it }
-            return { waiting.givenUp = true }
-        }
-
-        override fun whenRegained(action: () -> Unit) {
-            actions += action
-        }
-
-        fun regained(): Unit = actions.forEach { it() }
-    }
-
     private val channel = EmbeddedChannel()
     private val store = ScriptedStore()
     private val seen = ArrayList<String>()
     private val random = RandomSource.SPLIT_MIX_64.create(1L)
     private val watch =
-        KindWatch(StoreKind.EVACUATIONS, store, channel.eventLoop(), random, ::listed, ::changed)
+        KindWatch(StoreKind.EVACUATIONS, store, channel.eventLoop(), random, 150.milliseconds, ::listed, ::changed)
 
     private fun listed(entries: List<StoredObject>) {
         seen += entries.map { "list ${it.name}" }
@@ -85,8 +56,8 @@
             expectThat(store.calls.map { it.path }).isEqualTo(
                 listOf(
                     "/objects/evacuations",
-                    "/objects/evacuations?watch=7&waitMs=20000",
-                    "/objects/evacuations?watch=9&waitMs=20000",
+                    "/objects/evacuations?watch=7&waitMs=28000",
+                    "/objects/evacuations?watch=9&waitMs=28000",
                 ),
             )
             expectThat(seen.toList()).isEqualTo(listOf("list east", "change east removed=true"))
@@ -110,8 +81,8 @@
             expectThat(store.calls.map { it.path to it.givenUp }).isEqualTo(
                 listOf(
                     "/objects/evacuations" to false,
-                    "/objects/evacuations?watch=7&waitMs=20000" to true,
-                    "/objects/evacuations?watch=7&waitMs=20000" to false,
+                    "/objects/evacuations?watch=7&waitMs=28000" to true,
+                    "/objects/evacuations?watch=7&waitMs=28000" to false,
                 ),
             )
         }
@@ -124,7 +95,7 @@
             pass(0)
             expectThat(store.calls.size).isEqualTo(2)
             pass(600)
-            expectThat(store.calls.last().path).isEqualTo("/objects/evacuations?watch=7&waitMs=20000")
+            expectThat(store.calls.last().path).isEqualTo("/objects/evacuations?watch=7&waitMs=28000")
         }
     }
 }
--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/state/RollOutsTest.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/state/RollOutsTest.kt
@@ -1,9 +1,9 @@
 package dev.almondhaven.gateway.state
 
 import dev.almondhaven.decision.traffic.VersionChoice
+import dev.almondhaven.gateway.peer.SessionNote
 import dev.almondhaven.model.NanoClock
 import dev.almondhaven.model.ServiceId
-import dev.almondhaven.platform.StoreCall
 import dev.almondhaven.traffic.RollOutOrder
 import dev.almondhaven.traffic.RollOutState
 import dev.almondhaven.traffic.TrafficBounds
@@ -13,31 +13,20 @@
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
-import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 class RollOutsTest {
-    private object DeafStore : Store {
-        override val returnedAt: Long? = null
-
-        override fun call(
-            call: StoreCall,
-            patience: Duration,
-            onAnswer: (StoreAnswer?) -> Unit,
-        ): () -> Unit = {}
-
-        override fun whenRegained(action: () -> Unit) = Unit
-    }
-
     private var now = 0L
+    private val announced = ArrayList<SessionNote>()
     private val rollOuts =
         RollOuts(
-            TrafficBounds(8.seconds, 5.seconds, 0.9, 50.0, 10.seconds, sessionGap = 5.seconds),
-            DeafStore,
+            TrafficBounds(8.seconds, 2.seconds, 5.seconds, 0.9, 50.0, 10.seconds, sessionGap = 5.seconds),
+            ScriptedStore(),
             EmbeddedChannel().eventLoop(),
             NanoClock { now },
             RandomSource.SPLIT_MIX_64.create(1L),
+            { announced += it },
         )
     private val service = ServiceId("engines")
     private val old = VersionChoice.Except("v2")
@@ -60,7 +49,7 @@
         now = from.milliseconds.inWholeNanoseconds
         rollOuts.runBegins(service, session, version)
         now = to.milliseconds.inWholeNanoseconds
-        rollOuts.runEnds(service, session)
+        rollOuts.runEnds(service, session, version)
     }
 
     private fun order(): Unit =
@@ -111,6 +100,34 @@
         }
     }
 
+    @Nested
+    inner class `a router that runs a session on the old version in the first half` {
+        @Test
+        fun `tells the others, which keep the session there`() {
+            order()
+            val session = trialSession()
+            rollOuts.heard(SessionNote("engines", session, "v1", running = false))
+
+            expectThat(listOf(4_900L, 5_000L).map { versionFor(session, it) }).isEqualTo(listOf(old, new))
+        }
+
+        @Test
+        fun `says so at the order for what ran before, and at the begin and end of later runs`() {
+            order()
+            val session = trialSession()
+            rollOuts.withdrawn(service)
+            run(session, "v1", from = 0, to = 100)
+            run("other", "v1", from = 0, to = 100)
+            order()
+            run(session, "v1", from = 200, to = 300)
+            run(session, "v2", from = 6_000, to = 6_100)
+
+            expectThat(announced.toList()).isEqualTo(
+                listOf(false, true, false).map { SessionNote("engines", session, "v1", running = it) },
+            )
+        }
+    }
+
     @Nested
     inner class `in the second half a session` {
         @Test
