--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Admission.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Admission.kt
@@ -17,6 +17,9 @@
 internal class Admission(
     private val context: CallContext,
 ) {
+    /** Whether it is known what is in force; before that every request is turned away. */
+    val ready: Boolean get() = context.directory.configuration != null && context.directory.endpointsKnown
+
     /** The call that [request] makes, or the answer that ends it. */
     fun admit(request: CallerRequest): Either<OwnAnswer, AdmittedCall> {
         val demand =
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/call/CallHandler.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/call/CallHandler.kt
@@ -19,6 +19,19 @@
     override fun serve(
         request: CallerRequest,
         port: CallerPort,
+    ): RequestInWork =
+        if (admission.ready) {
+            admit(
+                request,
+                port,
+            )
+        } else {
+            StartingRequest(context.loop, admission::ready) { admit(request, port) }
+        }
+
+    private fun admit(
+        request: CallerRequest,
+        port: CallerPort,
     ): RequestInWork =
         admission.admit(request).fold({ refuse(request, port, it) }) { call ->
             context.directory.budgetOf(call.service).requested(context.clock.nanos())
