Wait for a silent stream where no repeat is left; keep a fifth of the repeats for failures

A stream is now given up only while a repeat is left (GatewayPathTest, "that pauses is waited for where it could not be repeated": fails without the change, passes with it), and larger models may take four fifths of the window, so that failures find the rest (RepeatWindowTest). The reserve of three repeats goes.

--- a/decision/src/main/kotlin/dev/almondhaven/decision/traffic/RepeatWindow.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/traffic/RepeatWindow.kt
@@ -36,19 +36,22 @@
         slotAt(now).requests++
     }
 
-    /** Repeats that may be spent at [now]. */
-    public fun available(now: Long): Double {
+    /** Repeats that may be spent at [now] by a use that may take [part] of all. */
+    public fun available(
+        now: Long,
+        part: Double = 1.0,
+    ): Double {
         val period = now.floorDiv(slotNanos)
         val counted = slots.filter { period - it.period in 0 until SLOTS }
-        return ratio * counted.sumOf { it.requests } + slack - counted.sumOf { it.repeats }
+        return part * (ratio * counted.sumOf { it.requests } + slack) - counted.sumOf { it.repeats }
     }
 
-    /** Spends one repeat at [now] if that leaves [reserve] of them; false if it doesn't. */
+    /** Spends one repeat at [now] for a use that may take [part] of all; false if none is left for it. */
     public fun trySpend(
         now: Long,
-        reserve: Double = 0.0,
+        part: Double = 1.0,
     ): Boolean {
-        if (available(now) < reserve + 1) return false
+        if (available(now, part) < 1) return false
         slotAt(now).repeats++
         return true
     }
--- a/decision/src/test/kotlin/dev/almondhaven/decision/traffic/RepeatWindowTest.kt
+++ b/decision/src/test/kotlin/dev/almondhaven/decision/traffic/RepeatWindowTest.kt
@@ -33,10 +33,12 @@
         }
 
         @Test
-        fun `keeps a reserve for those that may spend it`() {
-            expectThat(
-                listOf(budget.trySpend(at(0), reserve = 2.0), budget.trySpend(at(0))),
-            ).isEqualTo(listOf(false, true))
+        fun `gives a use only its part, so that the rest is left for others`() {
+            repeat(16) { budget.requested(at(0)) }
+            val larger = List(9) { budget.trySpend(at(100), part = 0.8) }
+            val failed = List(3) { budget.trySpend(at(100)) }
+
+            expectThat(larger.count { it } to failed).isEqualTo(8 to listOf(true, true, false))
         }
 
         @Test
@@ -92,7 +94,7 @@
 
             expectThat(
                 listOf(
-                    served { window.trySpend(it, reserve = 3.0) },
+                    served { window.trySpend(it, part = 0.8) },
                     served {
                         store.available >= 3 &&
                             store.tryRetry()
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Exchange.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Exchange.kt
@@ -90,8 +90,10 @@
         giveUp("no endpoint takes the request; listed=${context.directory.endpointsOf(call.service).size}")
     }
 
-    /** Whether the attempt in work may be given up for another one. */
-    fun mayRepeat(): Boolean = call.route.repeatable && runs + 1 < call.route.mostAttempts && mayRun()
+    /** Whether the attempt in work may be given up for another one: without that the caller would be left with nothing. */
+    fun mayRepeat(): Boolean =
+        call.route.repeatable && runs + 1 < call.route.mostAttempts && mayRun() &&
+            context.directory.budgetOf(call.service).available(context.clock.nanos()) >= 1
 
     /** Whether another attempt may run the request, with none in work. */
     private fun mayRun(): Boolean =
@@ -108,7 +110,7 @@
         backlogMillis = outlook.backlogMillis.toInt()
         if (begun || runs + 2 > call.route.mostAttempts) return null
         val larger = context.sizing.instead(call.route.models, asked, confidence, outlook) ?: return null
-        return larger.takeIf { spendRepeat(reserve = RESERVED_REPEATS) }
+        return larger.takeIf { spendRepeat(LARGER_MODELS_PART) }
     }
 
     private fun outlook(): SizingOutlook {
@@ -176,8 +178,8 @@
         if (repeats && (!spends || spendRepeat())) dispatch() else giveUp(reason)
     }
 
-    private fun spendRepeat(reserve: Double = 0.0): Boolean =
-        context.directory.budgetOf(call.service).trySpend(context.clock.nanos(), reserve)
+    private fun spendRepeat(part: Double = 1.0): Boolean =
+        context.directory.budgetOf(call.service).trySpend(context.clock.nanos(), part)
 
     private fun giveUp(reason: String) {
         val failure = lastFailure
@@ -324,8 +326,8 @@
         /** Sends beyond the route's attempts, for endpoints that turned the request away or could not be reached. */
         const val NOT_RUN_SENDS = 4
 
-        /** Part of the budget that only failed requests may spend, in repeats. */
-        const val RESERVED_REPEATS = 3.0
+        /** Part of the budget that larger models may take; the rest is left for requests that failed. */
+        const val LARGER_MODELS_PART = 0.8
         const val PLACE_AGAIN_MILLIS = 40L
 
         /** Part of the latency objective that a request waits for an endpoint to admit it. */
--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/GatewayPathTest.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/GatewayPathTest.kt
@@ -20,7 +20,10 @@
         scene?.close()
     }
 
-    private fun scene(vararg scripts: (ScriptedEndpoint.Served) -> Unit): Pair<GatewayScene, List<ScriptedEndpoint>> {
+    private fun scene(
+        vararg scripts: (ScriptedEndpoint.Served) -> Unit,
+        repeats: Boolean = true,
+    ): Pair<GatewayScene, List<ScriptedEndpoint>> {
         val endpoints =
             scripts.map { script ->
                 ScriptedEndpoint {
@@ -33,7 +36,7 @@
                     }
                 }
             }
-        return GatewayScene(endpoints).also { scene = it } to endpoints
+        return GatewayScene(endpoints, repeats).also { scene = it } to endpoints
     }
 
     private val whole = "${WireSamples.WHOLE_PATH}a"
@@ -211,6 +214,20 @@
             ).isEqualTo(setOf("", "3"))
         }
 
+        @Test
+        fun `that pauses is waited for where it could not be repeated, for want of a budget`() {
+            val script: (ScriptedEndpoint.Served) -> Unit = {
+                it.begin()
+                it.write(chunk(events(1..2)))
+                TimeUnit.MILLISECONDS.sleep(1_500)
+                it.write(chunk(events(3..4)) + "0\r\n\r\n")
+            }
+            val (scene, endpoints) = scene(script, script, repeats = false)
+
+            expectThat(unchunked(scene.call(stream, "r-1"))).isEqualTo(events(1..4))
+            expectThat(endpoints.requests()).isEqualTo(1)
+        }
+
         @Test
         fun `that can't go on does not look complete`() {
             val (scene, _) =
--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/GatewayScene.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/GatewayScene.kt
@@ -17,14 +17,21 @@
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration.Companion.seconds
 
-/** A gateway before [endpoints], with a store that lists them; all in this process on loopback. */
+/**
+ * A gateway before [endpoints], with a store that lists them; all in this process on loopback.
+ *
+ * @param repeats whether requests may be repeated at all.
+ */
 internal class GatewayScene(
     private val endpoints: List<ScriptedEndpoint>,
+    repeats: Boolean = true,
 ) : AutoCloseable {
     private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
     private val store = CallerServer(group, { CallerLimits.BEFORE_CONFIGURATION }, { false }, storeHandler())
     private val storePort = (store.listen("127.0.0.1:0").localAddress() as InetSocketAddress).port
-    private val bounds = TrafficBounds(1.seconds, 2.seconds, 5.seconds, 0.9, 50.0, 10.seconds, 5.seconds)
+    private val ratio = if (repeats) 0.9 else 0.0
+    private val slack = if (repeats) 50.0 else 0.0
+    private val bounds = TrafficBounds(1.seconds, 2.seconds, 5.seconds, ratio, slack, 10.seconds, 5.seconds)
     private val gateway =
         Gateway.start(
             RouterPlace(
