--- a/router/src/main/kotlin/dev/almondhaven/router/billing/Billing.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/billing/Billing.kt
@@ -127,7 +127,11 @@
     /** Gives a peer what the platform doesn't hold: this router stops, and can't store it any longer. */
     private fun handOver(message: BillingMessage.HandOver) {
         val batches = outbox.unstored()
-        val peer = peerForCopies() ?: return message.done.complete(batches.isEmpty()).let { }
+        val peer = peerForCopies()
+        if (peer == null) {
+            message.done.complete(batches.isEmpty())
+            return
+        }
         val parts =
             batches.chunked(BATCHES_AT_ONCE).map { part ->
                 post(peer, HAND_OVER_PATH, HandedOverBatches(part), HandedOverBatches.serializer())
