--- a/decision/src/main/kotlin/dev/almondhaven/decision/endpoint/EndpointHealth.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/endpoint/EndpointHealth.kt
@@ -11,9 +11,12 @@
  * Circuit breaker of one endpoint. Consecutive failures eject the endpoint for a while if its [group] allows that.
  * Then a single request probes it, whose outcome either restores the endpoint or ejects it for twice as long.
  * Thread-safe.
+ *
+ * @property longestEjection bound on the time between two probes.
  */
 public class EndpointHealth(
     private val group: EjectionGroup,
+    private val longestEjection: Duration = LONGEST_EJECTION,
 ) {
     private sealed interface State
 
@@ -93,6 +96,12 @@
         return recordFailure(now, random)
     }
 
+    /** Lets the next request at [now] probe the endpoint, since the probe in flight ended without telling its health. */
+    public fun releaseProbe(now: Long) {
+        val current = state.get()
+        if (current is Probing) state.compareAndSet(current, Ejected(now, current.ejections))
+    }
+
     /** Removes the endpoint from its group. */
     public fun retire(): Unit = group.remove(this)
 
@@ -102,7 +111,7 @@
         ejections: Int,
         random: UniformRandomProvider,
     ): Boolean {
-        val duration = minOf(FIRST_EJECTION * (1 shl minOf(ejections - 1, MAXIMUM_DOUBLINGS)), LONGEST_EJECTION)
+        val duration = minOf(FIRST_EJECTION * (1 shl minOf(ejections - 1, MAXIMUM_DOUBLINGS)), longestEjection)
         val jitteredDuration = duration / 2 + random.nextLong(duration.inWholeNanoseconds / 2 + 1).nanoseconds
         failures.set(0)
         return state.compareAndSet(current, Ejected(now + jitteredDuration.inWholeNanoseconds, ejections))
--- a/decision/src/main/kotlin/dev/almondhaven/decision/traffic/EndpointView.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/traffic/EndpointView.kt
@@ -5,6 +5,7 @@
 import dev.almondhaven.traffic.EndpointListing
 import dev.almondhaven.traffic.ReportedLoad
 import org.apache.commons.rng.UniformRandomProvider
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * This router's local view of one endpoint, built from the platform's endpoint list, the endpoint's load reports, the
@@ -12,6 +13,7 @@
  *
  * @property listing the endpoint's latest entry in the platform's list.
  * @property prefillSpeed estimate that all endpoints of a service share.
+ * @param warmUpShare this router's current part of the rate that the endpoint bears while it is cold.
  */
 public class EndpointView(
     listing: EndpointListing,
@@ -19,11 +21,12 @@
     kvCacheTokens: Long,
     public val prefillSpeed: PrefillSpeed,
     now: Long,
+    warmUpShare: () -> WarmUpShare = { WarmUpShare.UNLIMITED },
 ) {
     public var listing: EndpointListing = listing
         private set
-    public val health: EndpointHealth = EndpointHealth(group)
-    public val warmUp: WarmUpRateLimiter = WarmUpRateLimiter(now)
+    public val health: EndpointHealth = EndpointHealth(group, LONGEST_EJECTION)
+    public val warmUp: WarmUpRateLimiter = WarmUpRateLimiter(now, warmUpShare)
     public val prefixCache: PrefixCacheView = PrefixCacheView(kvCacheTokens)
     public val remotePrefills: RemotePrefills = RemotePrefills()
 
@@ -39,6 +42,7 @@
     private var latestLoad: ReportedLoad? = null
     private var latestLoadAt = now
     private var inFlightAtLatestLoad = 0
+    private var startedBefore = now
 
     init {
         extendColdPeriod(listing, now)
@@ -49,7 +53,10 @@
         newListing: EndpointListing,
         now: Long,
     ) {
-        if (newListing.startedAtMillis != listing.startedAtMillis) prefixCache.clear()
+        if (newListing.startedAtMillis != listing.startedAtMillis) {
+            prefixCache.clear()
+            startedBefore = now
+        }
         listing = newListing
         extendColdPeriod(newListing, now)
     }
@@ -58,11 +65,19 @@
         listing: EndpointListing,
         now: Long,
     ) {
-        if (listing.coldLeft.isPositive()) warmUp.extendTo(now + listing.coldLeft.inWholeNanoseconds)
+        if (listing.coldLeft.isPositive()) warmUp.extendTo(now + listing.coldLeft.inWholeNanoseconds, now)
     }
 
-    /** Records a request sent, with an estimated prefill time of [prefillMillis]. */
-    public fun recordStart(prefillMillis: Double) {
+    /**
+     * Records a request sent at [now], with an estimated prefill time of [prefillMillis]. The first one after an
+     * ejection probes the endpoint.
+     */
+    public fun recordStart(
+        prefillMillis: Double,
+        now: Long,
+    ) {
+        health.tryUse(now)
+        warmUp.recordSent(now)
         inFlight++
         ownPrefillMillis += prefillMillis
     }
@@ -73,10 +88,14 @@
     }
 
     /** Records the end of a request, whatever its outcome. */
-    public fun recordEnd() {
+    public fun recordEnd(now: Long) {
         inFlight--
+        health.releaseProbe(now)
     }
 
+    /** Whether the endpoint is past the time in which it is slow because it has just started. */
+    public fun isWarm(now: Long): Boolean = !warmUp.isCold(now) && now - startedBefore >= WARM_UP_NANOS
+
     /** Records a successful response. */
     public fun recordSuccess(now: Long) {
         health.recordSuccess()
@@ -130,5 +149,11 @@
     public companion object {
         /** Requests end within a second or two, so an older report no longer describes the endpoint's load. */
         public const val LOAD_REPORT_VALIDITY_NANOS: Long = 1_500_000_000
+
+        /** Engines have read the weights and the common prompt parts by then. */
+        private val WARM_UP_NANOS = 4.seconds.inWholeNanoseconds
+
+        /** An endpoint that can be reached again takes requests soon: its capacity is missed after a partition. */
+        private val LONGEST_EJECTION = 3.seconds
     }
 }
--- a/decision/src/main/kotlin/dev/almondhaven/decision/traffic/SlidingRetryBudget.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/traffic/SlidingRetryBudget.kt
@@ -12,12 +12,20 @@
  * before the burst ends.
  *
  * @property window the time span over which requests and retries are counted.
+ * @property slack retries that are granted in each window without any request; it changes with the number of routers
+ * that share the service's slack.
  */
 public class SlidingRetryBudget(
     private val window: Duration,
     private val ratio: Double,
-    private val slack: Double,
+    slack: Double,
 ) {
+    public var slack: Double = slack
+        set(value) {
+            require(value >= 0) { "slack must not be negative, got $value" }
+            field = value
+        }
+
     private class Slot(
         var period: Long = UNUSED_PERIOD,
         var requests: Int = 0,
--- a/decision/src/main/kotlin/dev/almondhaven/decision/traffic/WarmUpRateLimiter.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/traffic/WarmUpRateLimiter.kt
@@ -1,18 +1,28 @@
 package dev.almondhaven.decision.traffic
 
 /**
- * Limits the request rate that this router sends to an endpoint while it is cold. The platform bounds the rate of all
- * routers together, so each router takes an equal share; overestimating the number of routers only makes it send less.
- * Not thread-safe.
+ * Limits the requests that this router sends to an endpoint while it is cold: one in each of the router's turns.
+ * Overestimating the number of routers only makes it send less. Not thread-safe.
+ *
+ * @property share this router's current part of the rate; it changes as routers come and go.
  */
 public class WarmUpRateLimiter(
     now: Long,
+    private val share: () -> WarmUpShare,
 ) {
+    private var coldSince = now
     private var coldUntil = now
-    private var nextSendAt = now
+    private var lastTurn = NO_TURN
 
-    /** Extends the cold period to [until]; an earlier time than the current end is ignored. */
-    public fun extendTo(until: Long) {
+    /** Extends the cold period, which begins at [now] if the endpoint was warm, to [until] unless it ends later. */
+    public fun extendTo(
+        until: Long,
+        now: Long,
+    ) {
+        if (!isCold(now)) {
+            coldSince = now
+            lastTurn = NO_TURN
+        }
         if (until - coldUntil > 0) coldUntil = until
     }
 
@@ -20,23 +30,29 @@
     public fun isCold(now: Long): Boolean = coldUntil - now > 0
 
     /** Whether a request may be sent at [now]; always true once the endpoint is warm. */
-    public fun admits(now: Long): Boolean = !isCold(now) || now - nextSendAt >= 0
+    public fun admits(now: Long): Boolean {
+        if (!isCold(now)) return true
+        val current = share()
+        if (!current.isLimited) return true
+        val sinceFirstTurn = now - coldSince - current.firstTurn.inWholeNanoseconds
+        if (sinceFirstTurn < 0) return false
+        val sinceTurn = sinceFirstTurn % current.turnInterval.inWholeNanoseconds
+        return sinceTurn < current.turnLength.inWholeNanoseconds && turnAt(now, current) != lastTurn
+    }
 
-    /**
-     * Records a request sent at [now]. The next one is due after this router's share of the limit of [perSecond]
-     * requests, which is split evenly among [routers].
-     */
-    public fun recordSent(
-        now: Long,
-        perSecond: Double,
-        routers: Int,
-    ) {
-        if (perSecond <= 0) return
-        val share = perSecond / routers.coerceAtLeast(1)
-        nextSendAt = maxOf(nextSendAt, now) + (NANOS_PER_SECOND / share).toLong()
+    /** Records a request sent at [now], which uses up the current turn. */
+    public fun recordSent(now: Long) {
+        if (!isCold(now)) return
+        val current = share()
+        if (current.isLimited) lastTurn = turnAt(now, current)
     }
 
+    private fun turnAt(
+        now: Long,
+        share: WarmUpShare,
+    ): Long = (now - coldSince - share.firstTurn.inWholeNanoseconds).floorDiv(share.turnInterval.inWholeNanoseconds)
+
     private companion object {
-        const val NANOS_PER_SECOND = 1e9
+        const val NO_TURN = Long.MIN_VALUE
     }
 }
--- a/decision/src/test/kotlin/dev/almondhaven/decision/traffic/EndpointPlacementTest.kt
+++ b/decision/src/test/kotlin/dev/almondhaven/decision/traffic/EndpointPlacementTest.kt
@@ -61,7 +61,7 @@
             val near = endpoint("near")
             val far = endpoint("far", domain = "there")
             expectThat(placement.choose(listOf(far, near), plainRequest, 0)).isEqualTo(near)
-            repeat(4) { near.recordStart(0.0) }
+            repeat(4) { near.recordStart(0.0, now = 0) }
             expectThat(placement.choose(listOf(far, near), plainRequest, 0)).isEqualTo(far)
         }
 
@@ -107,6 +107,36 @@
             expectThat(placement.choose(engines, prompt("subject"), 0)).isEqualTo(preferred)
         }
 
+        @Test
+        fun `probes an ejected engine with one request at a time, until it answers`() {
+            val preferred = placement.choose(engines, prompt("subject"), 0)!!
+
+            fun isChosen(now: Long) = placement.choose(engines, prompt("subject"), now) === preferred
+            preferred.recordUnreachable(0, random)
+            val probed = isChosen(3 * second)
+            preferred.recordStart(0.0, 3 * second)
+            val duringProbe = isChosen(3 * second)
+            preferred.recordUnreachable(4 * second, random)
+            preferred.recordEnd(4 * second)
+            val afterFailedProbe = isChosen(4 * second)
+            preferred.recordStart(0.0, 8 * second)
+            preferred.recordSuccess(8 * second)
+            preferred.recordEnd(8 * second)
+
+            expectThat(listOf(probed, duringProbe, afterFailedProbe, isChosen(60 * second)))
+                .isEqualTo(listOf(true, false, false, true))
+        }
+
+        @Test
+        fun `probes an ejected engine again if the probe ended without telling its health`() {
+            val preferred = placement.choose(engines, prompt("subject"), 0)!!
+            preferred.recordUnreachable(0, random)
+            preferred.recordStart(0.0, 3 * second)
+            preferred.recordEnd(3 * second)
+
+            expectThat(placement.choose(engines, prompt("subject"), 3 * second)).isEqualTo(preferred)
+        }
+
         @Test
         fun `avoids its preferred engine while that is ejected`() {
             val preferred = placement.choose(engines, prompt("subject"), 0)!!
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/CdsTrainingRun.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/CdsTrainingRun.kt
@@ -66,7 +66,9 @@
                 "127.0.0.1:0",
                 bounds,
             )
-        val gateway = Gateway.start(settings)
+        val listener = EarlyListener.open("127.0.0.1:0")
+        val address = "${listener?.localAddress}".substringAfter('/')
+        val gateway = Gateway.start(settings.copy(callerAddress = address), listener)
         val port = gateway.callerPort
         val ready =
             (1..MAX_WARM_UP_ATTEMPTS).any {
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/Gateway.kt
@@ -23,10 +23,12 @@
 import dev.almondhaven.platform.StoredObject
 import dev.almondhaven.traffic.NodeSettings
 import io.github.oshai.kotlinlogging.KotlinLogging
+import io.netty.channel.Channel
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
 import org.apache.commons.rng.simple.RandomSource
 import java.net.InetSocketAddress
+import java.nio.channels.ServerSocketChannel
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -40,6 +42,7 @@
  */
 internal class Gateway private constructor(
     private val settings: NodeSettings,
+    private val listener: ServerSocketChannel?,
 ) {
     private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
     private val loop = group.next()
@@ -50,7 +53,8 @@
     private val store = HttpStoreClient(loop, settings.storeAddress, clock)
     private val configurationWatcher = ConfigurationWatcher(settings.bounds, store, loop, clock, ::configure)
     private val peers = PeerMessenger(group, settings.peerAddress, loop, clock, routing)
-    private val rollOuts = RollOutController(settings.bounds, store, loop, clock, random, peers::announceSession)
+    private val rollOuts =
+        RollOutController(settings.name, settings.bounds, store, loop, clock, random, peers, routing::routerCount)
     private val context =
         CallContext(
             routing,
@@ -68,20 +72,19 @@
     private val callerServer = CallerServer(group, routing::limits, lifecycle::isStopping, CallHandler(context))
     private val readinessServer = CallerServer(group, routing::limits, { false }, ReadinessHandler(::isReady))
 
-    private fun isReady(): Boolean =
-        !lifecycle.isStopping && routing.configuration != null && routing.hasEndpointList &&
-            configurationWatcher.isFresh
+    private fun isReady(): Boolean = !lifecycle.isStopping && routing.isLoaded && configurationWatcher.isFresh
 
     /** The port on which callers are served. */
     var callerPort = 0
         private set
 
     private fun start() {
-        callerPort = (callerServer.listen(settings.callerAddress).localAddress() as InetSocketAddress).port
+        callerPort = (listenForCallers().localAddress() as InetSocketAddress).port
         readinessServer.listen(settings.readyAddress)
         peers.listen()
         loop.execute {
             peers.onSession = rollOuts::applyAnnouncement
+            peers.onCanary = rollOuts::applyCanary
             configurationWatcher.start()
             follow(StoreKind.ENDPOINTS, ::endpointsListed, ::endpointsChanged)
             follow(StoreKind.EVACUATIONS, ::evacuationsListed, ::evacuationsChanged)
@@ -97,11 +100,25 @@
         }
     }
 
+    /** Serves on the port that is open already, unless it is not the one of the settings. */
+    private fun listenForCallers(): Channel {
+        val open = listener ?: return callerServer.listen(settings.callerAddress)
+        if (settings.callerAddress == "${open.localAddress}".substringAfter('/')) return callerServer.serve(open)
+        open.close()
+        return callerServer.listen(settings.callerAddress)
+    }
+
     private fun follow(
         kind: StoreKind,
         onList: (List<StoredObject>) -> Unit,
         onChanges: (List<StoreChange>) -> Unit,
-    ): Unit = KindWatcher(kind, store, loop, random, batchDelayOf(kind), onList, onChanges).start()
+    ) {
+        val onLoaded = { entries: List<StoredObject> ->
+            onList(entries)
+            routing.markListed(kind)
+        }
+        KindWatcher(kind, store, loop, random, batchDelayOf(kind), onLoaded, onChanges).start()
+    }
 
     /** How long changes of one kind may wait, so that one call returns them together. */
     private fun batchDelayOf(kind: StoreKind): Duration =
@@ -201,7 +218,8 @@
     }
 
     private fun updateRouters() {
-        routing.routerCount = routers.size.coerceAtLeast(1)
+        val names = (routers.keys + settings.name).sorted()
+        routing.setRouters(names.size, names.indexOf(settings.name))
         peers.setPeers(routers.values.filterNotNull().filter { it != settings.peerAddress })
     }
 
@@ -265,7 +283,10 @@
         private val STOP_MARGIN = 300.milliseconds
         private const val STOP_CHECK_MILLIS = 50L
 
-        /** Starts serving with [settings]. */
-        fun start(settings: NodeSettings): Gateway = Gateway(settings).also { it.start() }
+        /** Starts serving with [settings], on [listener] if that is the callers' port. */
+        fun start(
+            settings: NodeSettings,
+            listener: ServerSocketChannel? = null,
+        ): Gateway = Gateway(settings, listener).also { it.start() }
     }
 }
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/GatewayMain.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/GatewayMain.kt
@@ -1,65 +1,21 @@
-// Entry point of the router process on the platform's VMs: reads the VM's settings and serves until it is asked to
-// stop.
+// Entry point of the router process on the platform's VMs. Opens the callers' port first and loads the rest of the
+// program afterwards; nothing in this file may load a library.
 
 package dev.almondhaven.gateway
 
-import ch.qos.logback.classic.LoggerContext
-import dev.almondhaven.model.LogEvent
-import dev.almondhaven.platform.NodeFile
-import dev.almondhaven.traffic.NodeSettings
-import io.github.oshai.kotlinlogging.KotlinLogging
-import org.slf4j.LoggerFactory
-import sun.misc.Signal
-import java.io.IOException
-import java.nio.file.Files
-import java.nio.file.Path
-import java.util.concurrent.CountDownLatch
 import kotlin.system.exitProcess
 
-private val logger = KotlinLogging.logger {}
-private const val EXIT_CONFIGURATION = 78
+private const val TRAINING_RUN = "rehearse"
+private const val LISTEN_OPTION = "--listen"
 
 /**
- * Runs the router, or a [CdsTrainingRun] if the argument is `rehearse`; exits with status 78 if the settings are
- * invalid.
+ * Runs the router, or a [CdsTrainingRun] if the only argument is `rehearse`. With `--listen IP:PORT` the port is open
+ * from the start of the process; it should be the callers' address of the settings file.
  */
 public fun main(arguments: Array<String>) {
-    if (arguments.contentEquals(arrayOf("rehearse"))) exitProcess(CdsTrainingRun().run())
-    val settings = readSettings() ?: exitProcess(EXIT_CONFIGURATION)
-    val stop = CountDownLatch(1)
-    Signal.handle(Signal("TERM")) { stop.countDown() }
-    Signal.handle(Signal("INT")) { stop.countDown() }
-    Signal.handle(Signal("HUP")) { reload(settings) }
-    val gateway = Gateway.start(settings)
-    stop.await()
-    gateway.stop()
-    (LoggerFactory.getILoggerFactory() as LoggerContext).stop()
-    // Exits without shutdown hooks; no state is left to save.
-    Runtime.getRuntime().halt(0)
-}
-
-private fun readSettings(): NodeSettings? {
-    val path = Path.of(System.getenv(NodeFile.PATH_VARIABLE) ?: NodeFile.DEFAULT_PATH)
-    val text =
-        try {
-            Files.readString(path)
-        } catch (failure: IOException) {
-            logger.error(failure) { "the settings file $path can't be read" }
-            return null
-        }
-    return NodeFile.decode(text).fold(
-        { problems ->
-            problems.forEach { problem -> logger.error { "$path: $problem" } }
-            null
-        },
-    ) { it }
-}
-
-/**
- * Reads the settings again and logs whether they have changed. A running process does not apply changes: addresses
- * can't change while it runs, and everything else comes from the store.
- */
-private fun reload(running: NodeSettings) {
-    val next = readSettings() ?: return
-    LogEvent.SETTINGS_RELOADED.log(logger) { "router=${running.name} changed=${next != running}" }
+    if (arguments.size == 1 && arguments[0] == TRAINING_RUN) exitProcess(CdsTrainingRun().run())
+    val option = arguments.indexOf(LISTEN_OPTION)
+    val address = if (option >= 0 && option + 1 < arguments.size) arguments[option + 1] else null
+    val listener = EarlyListener.open(address)
+    RouterProcess(listener).run()
 }
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Admission.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Admission.kt
@@ -17,8 +17,8 @@
 internal class Admission(
     private val context: CallContext,
 ) {
-    /** Whether the configuration and the endpoint list are loaded; until then every request is rejected. */
-    val isReady: Boolean get() = context.routing.configuration != null && context.routing.hasEndpointList
+    /** Whether everything that binds the choice of an endpoint is loaded; until then every request is rejected. */
+    val isReady: Boolean get() = context.routing.isLoaded
 
     /** Returns the admitted call for [request], or the response that rejects it. */
     fun admit(request: CallerRequest): Either<RouterResponse, AdmittedCall> {
@@ -32,10 +32,8 @@
             return notExecuted(id, RETRY_ELSEWHERE_DELAY, "the router is stopping")
         }
         val configuration = context.routing.configuration
-        if (configuration == null ||
-            !context.routing.hasEndpointList
-        ) {
-            return notExecuted(id, RETRY_AFTER_START_DELAY, "no configuration yet")
+        if (configuration == null || !isReady) {
+            return notExecuted(id, RETRY_AFTER_START_DELAY, "configuration, endpoints or orders are not loaded yet")
         }
         val route =
             configuration.route(request.host, request.path)
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Attempt.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Attempt.kt
@@ -63,11 +63,15 @@
     private var prefillEnded = false
     private val splitter = EventSplitter()
     private val bufferedBody = ByteArrayOutputStream()
+    private var discardedBytes = 0
     private var status = 0
     private var headers: List<Pair<String, String>> = emptyList()
     private var lastEventAt = 0L
     private var isSuspect = false
 
+    /** Whether the answer began much later than is usual for the current version. */
+    private var isSlow = false
+
     /** Milliseconds from the start of the attempt to the first usable response head; null until it arrives. */
     var firstResponseMillis: Double? = null
         private set
@@ -83,16 +87,9 @@
             prefillMillis = endpointState.prefillSpeed.estimateMillis(placementRequest.model, uncachedTokens)
             endpointState.prefixCache.recordPrefill(placementRequest.model, placementRequest.promptParts)
         }
-        endpointState.recordStart(prefillMillis)
+        endpointState.recordStart(prefillMillis, now)
         call.demand.session?.let { context.rollOuts.runStarted(call.service, it, listing.version) }
         context.peers.announcePrefillStart(prefillKey(), listing.id, prefillMillis)
-        if (endpointState.warmUp.isCold(now)) {
-            endpointState.warmUp.recordSent(
-                now,
-                call.configuration.services[call.service]?.coldRequestsPerSecond ?: 0.0,
-                context.routing.routerCount,
-            )
-        }
         val terms =
             ForwardingParameters(
                 endpoint = listing.id,
@@ -139,7 +136,10 @@
             return HeadAction.SKIP
         }
         signals.load?.let { endpointState.recordLoad(it, context.clock.nanos()) }
-        signals.coldLeft?.let { endpointState.warmUp.extendTo(context.clock.nanos() + it.inWholeNanoseconds) }
+        signals.coldLeft?.let {
+            val now = context.clock.nanos()
+            endpointState.warmUp.extendTo(now + it.inWholeNanoseconds, now)
+        }
         this.status = status
         this.headers = WireCalls.callerResponseHeaders(headers)
         stage = stageOf(status, signals, headers)
@@ -169,6 +169,11 @@
         val millis = (context.clock.nanos() - startedAt) / NANOS_PER_MILLI
         firstResponseMillis = millis
         lastEventAt = context.clock.nanos()
+        val isSuccess = stage == Stage.EVENTS || stage == Stage.WHOLE
+        // An endpoint that has just started is slow, whatever its version.
+        if (!isSuccess || !endpointState.isWarm(lastEventAt)) return
+        val kind = "${call.route.name}/$model"
+        isSlow = context.rollOuts.isSlow(call.service, endpointState.listing.version, kind, millis, prefillMillis)
     }
 
     private fun startStream(signals: ResponseMetadata) {
@@ -200,26 +205,37 @@
     override fun onContent(bytes: ByteBuf) {
         val chunk = ByteArray(bytes.readableBytes())
         bytes.readBytes(chunk)
-        lastEventAt = context.clock.nanos()
         when (stage) {
-            Stage.EVENTS -> {
-                splitter.append(chunk).forEach(exchange::onEvent)
-            }
+            Stage.EVENTS -> passOn(chunk)
+            Stage.WHOLE, Stage.FAILURE -> buffer(chunk)
+            Stage.STATED_NOT_RUN -> discard(chunk)
+            else -> Unit
+        }
+    }
 
-            Stage.WHOLE, Stage.FAILURE -> {
-                if (bufferedBody.size() + chunk.size <=
-                    MAX_BUFFERED_BYTES
-                ) {
-                    bufferedBody.write(chunk)
-                } else {
-                    abandon("too large to hold")
-                }
-            }
+    /** Passes complete events on. Bytes that complete none are no progress: a stalled endpoint may trickle them. */
+    private fun passOn(chunk: ByteArray) {
+        val events = splitter.append(chunk)
+        if (events.isNotEmpty()) lastEventAt = context.clock.nanos()
+        events.forEach(exchange::onEvent)
+        if (stage == Stage.EVENTS && splitter.isOversized) abandon("an event without end")
+    }
 
-            else -> {
-                Unit
-            }
-        }
+    private fun buffer(chunk: ByteArray) {
+        lastEventAt = context.clock.nanos()
+        val fits = bufferedBody.size() + chunk.size <= MAX_BUFFERED_BYTES && context.bufferedBytes.tryHold(chunk.size)
+        if (fits) bufferedBody.write(chunk) else abandon("too large to hold")
+    }
+
+    /** The head alone states that the request was not run; a body without end must not delay the next attempt. */
+    private fun discard(chunk: ByteArray) {
+        discardedBytes += chunk.size
+        if (discardedBytes > MAX_DISCARDED_BYTES) endNotExecuted()
+    }
+
+    private fun endNotExecuted() {
+        outbound?.cancel()
+        report(notExecuted())
     }
 
     override fun onEnd() {
@@ -253,18 +269,21 @@
     }
 
     private fun endFailure() {
-        context.rollOuts.recordResponse(call.service, endpointState.listing.version, failed = true)
+        recordEvidence(bad = true)
         recordFailure()
         report(AttemptOutcome.Failed(ErrorResponse(status, headers, bufferedBody.toByteArray())))
     }
 
     private fun succeed(deliver: () -> Unit) {
         recordSuccess()
-        context.rollOuts.recordResponse(call.service, endpointState.listing.version, failed = false)
+        recordEvidence(bad = isSlow)
         settle()
         deliver()
     }
 
+    private fun recordEvidence(bad: Boolean): Unit =
+        context.rollOuts.recordResponse(call.service, endpointState.listing.version, call.route.name, bad)
+
     override fun onFailure(
         sent: Boolean,
         reason: String,
@@ -300,8 +319,9 @@
         if (stage == Stage.SETTLED) return
         stage = Stage.SETTLED
         context.watchdog.release(this)
+        context.bufferedBytes.release(bufferedBody.size())
         endPrefill()
-        endpointState.recordEnd()
+        endpointState.recordEnd(context.clock.nanos())
         call.demand.session?.let { context.rollOuts.runEnded(call.service, it, endpointState.listing.version) }
     }
 
@@ -326,6 +346,10 @@
     /** Fails the attempt, or marks the endpoint as suspect, if the response has stalled. */
     fun checkStalled() {
         val now = context.clock.nanos()
+        if (stage == Stage.STATED_NOT_RUN) {
+            if ((now - lastEventAt).nanoseconds > NOT_RUN_BODY_TIMEOUT) endNotExecuted()
+            return
+        }
         val since = if (firstResponseMillis == null) startedAt else lastEventAt
         val silence = (now - since).nanoseconds
         val limit = if (firstResponseMillis == null) firstResponseTimeout() else eventGapTimeout(now)
@@ -379,6 +403,10 @@
         /** Limit on a buffered response body, 4 MiB; responses of plain services are a few kilobytes. */
         const val MAX_BUFFERED_BYTES = 4_194_304
 
+        /** Limits on the body of a response that states that the request was not run. */
+        const val MAX_DISCARDED_BYTES = 65_536
+        val NOT_RUN_BODY_TIMEOUT = 200.milliseconds
+
         /**
          * Urgency of priority 0. The endpoints' default urgency is 5; the most urgent priority ranks two classes ahead
          * of it.
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/call/EventSplitter.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/call/EventSplitter.kt
@@ -8,46 +8,51 @@
  */
 internal class EventSplitter {
     private val buffer = ByteArrayOutputStream()
+    private var linesInEvent = 0
+    private var lineBytes = 0
+    private var lastByte: Byte = 0
 
     /** Whether the buffer holds the beginning of an incomplete event. */
     val hasPartialEvent: Boolean get() = buffer.size() > 0
 
+    /** Whether the incomplete event is larger than any that an endpoint may send. */
+    val isOversized: Boolean get() = buffer.size() > MAX_EVENT_BYTES
+
     /** Appends [bytes] to the buffer and removes the events that are complete now, in order. */
     fun append(bytes: ByteArray): List<StreamEvent> {
-        buffer.write(bytes)
-        val all = buffer.toByteArray()
         val events = ArrayList<StreamEvent>()
         var start = 0
-        var end = endOfEvent(all, start)
-        while (end > 0) {
-            events += StreamEvent.of(all.copyOfRange(start, end))
-            start = end
-            end = endOfEvent(all, start)
-        }
-        if (start > 0) {
-            buffer.reset()
-            buffer.write(all, start, all.size - start)
+        bytes.forEachIndexed { index, byte ->
+            if (endsEvent(byte)) {
+                buffer.write(bytes, start, index + 1 - start)
+                start = index + 1
+                events += StreamEvent.of(buffer.toByteArray())
+                buffer.reset()
+            }
         }
+        buffer.write(bytes, start, bytes.size - start)
         return events
     }
 
-    /** Index after the empty line that ends the event that begins at [start]; 0 if the event is incomplete. */
-    private fun endOfEvent(
-        bytes: ByteArray,
-        start: Int,
-    ): Int {
-        var lineStart = start
-        for (index in start until bytes.size) {
-            if (bytes[index] != NEW_LINE) continue
-            val lineEnd = if (index > lineStart && bytes[index - 1] == CARRIAGE_RETURN) index - 1 else index
-            if (lineEnd == lineStart && lineStart > start) return index + 1
-            lineStart = index + 1
+    /** Advances by [byte]; true if it ends an empty line, and with it the event. */
+    private fun endsEvent(byte: Byte): Boolean {
+        if (byte != NEW_LINE) {
+            lineBytes++
+            lastByte = byte
+            return false
         }
-        return 0
+        val isEmptyLine = lineBytes == 0 || (lineBytes == 1 && lastByte == CARRIAGE_RETURN)
+        lineBytes = 0
+        val ended = isEmptyLine && linesInEvent > 0
+        linesInEvent = if (ended) 0 else linesInEvent + 1
+        return ended
     }
 
     private companion object {
         const val NEW_LINE = '\n'.code.toByte()
         const val CARRIAGE_RETURN = '\r'.code.toByte()
+
+        /** 1 MiB; an event holds a few tokens. */
+        const val MAX_EVENT_BYTES = 1_048_576
     }
 }
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/net/CallerConnection.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/net/CallerConnection.kt
@@ -160,11 +160,18 @@
         if (pipelined.size >= MAX_PIPELINED_REQUESTS) context.channel().config().isAutoRead = false
     }
 
+    /**
+     * Serves [request] once the event loop has read all connections that have data. Callers whose requests waited
+     * unread, as while the process starts, may have left since; their closed connections are seen first.
+     */
     private fun serve(request: CallerRequest) {
         val next = Writer(request.keepAlive, request.method == "HEAD")
         activeWriter = next
-        val served = handler.serve(request, next)
-        if (activeWriter === next) inFlight = served
+        context.executor().execute {
+            if (activeWriter !== next || !context.channel().isActive) return@execute
+            val served = handler.serve(request, next)
+            if (activeWriter === next) inFlight = served
+        }
     }
 
     /**
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/net/CallerServer.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/net/CallerServer.kt
@@ -1,7 +1,9 @@
 package dev.almondhaven.gateway.net
 
+import dev.almondhaven.gateway.EarlyListener
 import dev.almondhaven.traffic.CallerLimits
 import io.netty.bootstrap.ServerBootstrap
+import io.netty.channel.AdaptiveRecvByteBufAllocator
 import io.netty.channel.Channel
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
@@ -9,6 +11,7 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel
 import io.netty.handler.codec.http.HttpResponseEncoder
 import java.net.InetSocketAddress
+import java.nio.channels.ServerSocketChannel
 
 /** Listens for callers and tracks their connections. Must be used on the event loop only, except [listen]. */
 internal class CallerServer(
@@ -24,17 +27,35 @@
 
     /** Binds to [address], an `ip:port`. */
     fun listen(address: String): Channel {
-        val bootstrap = ServerBootstrap().group(group).channel(NioServerSocketChannel::class.java)
-        bootstrap.option(ChannelOption.SO_BACKLOG, BACKLOG)
+        val bootstrap = bootstrap().channel(NioServerSocketChannel::class.java)
+        bootstrap.option(ChannelOption.SO_BACKLOG, EarlyListener.BACKLOG)
         bootstrap.option(ChannelOption.SO_REUSEADDR, true)
+        val host = address.substringBeforeLast(':')
+        return bootstrap.bind(InetSocketAddress(host, address.substringAfterLast(':').toInt())).sync().channel()
+    }
+
+    /** Serves on [listener], a port that is open already. */
+    fun serve(listener: ServerSocketChannel): Channel =
+        bootstrap()
+            .channelFactory { NioServerSocketChannel(listener) }
+            .register()
+            .sync()
+            .channel()
+
+    private fun bootstrap(): ServerBootstrap {
+        val bootstrap = ServerBootstrap().group(group)
         SocketOptions.COMMON.forEach { (option, value) -> bootstrap.setChildOption(option, value) }
+        // Reads until nothing is left, so that a close that follows a request is seen together with it.
+        bootstrap.childOption(
+            ChannelOption.RCVBUF_ALLOCATOR,
+            AdaptiveRecvByteBufAllocator().respectMaybeMoreData(false).maxMessagesPerRead(MAX_READS),
+        )
         bootstrap.childHandler(
             object : ChannelInitializer<Channel>() {
                 override fun initChannel(channel: Channel) = accept(channel)
             },
         )
-        val host = address.substringBeforeLast(':')
-        return bootstrap.bind(InetSocketAddress(host, address.substringAfterLast(':').toInt())).sync().channel()
+        return bootstrap
     }
 
     private fun accept(channel: Channel) {
@@ -60,7 +81,7 @@
     fun closeIdle(): Unit = connections.toList().forEach { it.closeIfIdle() }
 
     private companion object {
-        /** Accommodates the burst of connections when the callers of a failure domain move to this router. */
-        const val BACKLOG = 1_024
+        /** Reads of one connection before the others get their turn. */
+        const val MAX_READS = 16
     }
 }
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/net/ConnectionPool.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/net/ConnectionPool.kt
@@ -72,7 +72,11 @@
             object : ChannelInitializer<Channel>() {
                 override fun initChannel(channel: Channel) {
                     connection = OutboundConnection(channel, address, ::release, onBytesReceived)
-                    channel.pipeline().addLast(HttpClientCodec(DECODER, false, false), connection)
+                    channel.pipeline().addLast(
+                        RawByteCounter(connection),
+                        HttpClientCodec(DECODER, false, false),
+                        connection,
+                    )
                 }
             },
         )
@@ -87,17 +91,25 @@
                     }
                 }
 
-                call.isCancelled -> {
-                    release(connection)
-                }
-
                 else -> {
-                    call.attach(connection).also { connection.send(request, listener) }
+                    // A caller may have left while the connection was opened; the event loop first reads all others.
+                    loop.execute { sendUnlessCancelled(connection, request, listener, call) }
                 }
             }
         }
     }
 
+    private fun sendUnlessCancelled(
+        connection: OutboundConnection,
+        request: OutboundRequest,
+        listener: OutboundListener,
+        call: OutboundCall,
+    ) {
+        if (call.isCancelled) return release(connection)
+        call.attach(connection)
+        connection.send(request, listener)
+    }
+
     @Suppress("UNCHECKED_CAST")
     private fun Bootstrap.setOption(
         option: ChannelOption<*>,
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/net/OutboundConnection.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/net/OutboundConnection.kt
@@ -31,6 +31,9 @@
     private var requestWritten = false
     private var isReusable = true
 
+    /** Bytes received since the last ones that belonged to a response to the request in flight. */
+    private var unusedBytes = 0L
+
     /** Monotonic time in nanoseconds at which the last response ended. */
     var idleSince = 0L
         private set
@@ -49,6 +52,7 @@
         this.listener = listener
         headReceived = false
         requestWritten = false
+        unusedBytes = 0
         val content = if (request.body.isEmpty()) Unpooled.EMPTY_BUFFER else Unpooled.wrappedBuffer(request.body)
         val message =
             DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(request.method), request.path, content)
@@ -78,6 +82,15 @@
         channel.close()
     }
 
+    /**
+     * Counts [bytes] before they are decoded. Blank lines, interim responses and responses to other requests may
+     * follow each other without end, and the decoder does not bound them.
+     */
+    fun onRawBytes(bytes: Int) {
+        unusedBytes += bytes
+        if (unusedBytes > MAX_UNUSED_BYTES) fail("$unusedBytes bytes without a response")
+    }
+
     override fun channelRead(
         context: ChannelHandlerContext,
         message: Any,
@@ -104,6 +117,7 @@
         updateIdleTimeout(response)
         val action = listener?.onHead(status, response.headers()) ?: HeadAction.SKIP
         isDiscarding = action == HeadAction.SKIP
+        if (!isDiscarding) unusedBytes = 0
         if (isDiscarding) isReusable = false
     }
 
@@ -122,7 +136,10 @@
     }
 
     private fun handleContent(content: HttpContent) {
-        if (!isDiscarding && content.content().isReadable) listener?.onContent(content.content())
+        if (!isDiscarding && content.content().isReadable) {
+            unusedBytes = 0
+            listener?.onContent(content.content())
+        }
         if (content !is LastHttpContent) return
         val wasDiscarded = isDiscarding
         isDiscarding = false
@@ -163,6 +180,9 @@
         val KEEP_ALIVE_TIMEOUT = Regex("""timeout=(\d+)""")
         const val NANOS_PER_SECOND = 1_000_000_000L
 
+        /** 1 MiB; enough for the longest head, and for a late copy of another response before it. */
+        const val MAX_UNUSED_BYTES = 1_048_576L
+
         /** Used if the peer states no timeout; common servers keep idle connections for five seconds or longer. */
         const val DEFAULT_IDLE_TIMEOUT_NANOS = 4 * NANOS_PER_SECOND
     }
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/peer/PeerMessage.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/peer/PeerMessage.kt
@@ -8,4 +8,5 @@
 internal data class PeerMessage(
     @SerialName("readings") val prefills: List<PrefillAnnouncement> = emptyList(),
     @SerialName("sessions") val sessions: List<SessionAnnouncement> = emptyList(),
+    @SerialName("canaries") val canaries: List<CanaryAnnouncement> = emptyList(),
 )
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/peer/PeerMessenger.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/peer/PeerMessenger.kt
@@ -1,5 +1,6 @@
 package dev.almondhaven.gateway.peer
 
+import dev.almondhaven.decision.membership.RendezvousHash
 import dev.almondhaven.gateway.state.RoutingState
 import dev.almondhaven.model.EndpointId
 import dev.almondhaven.model.LogEvent
@@ -25,7 +26,7 @@
  * Exchanges datagrams with the other routers about long prefills: an engine in the prefill of a long prompt delays all
  * its other requests, and its load reports are too old to show that. During a roll-out the routers also announce which
  * sessions still run on the old version, since the requests of a session reach different routers. Datagrams may be
- * lost; they only influence the choice between endpoints. Must be used on the event loop only, except [listen].
+ * lost; they only influence the choice between endpoints and how soon a bad version is found. Must be used on the event loop only, except [listen].
  */
 internal class PeerMessenger(
     private val group: EventLoopGroup,
@@ -33,7 +34,7 @@
     private val loop: EventLoop,
     private val clock: NanoClock,
     private val routing: RoutingState,
-) {
+) : RollOutAnnouncer {
     private var channel: Channel? = null
     private var peers: List<InetSocketAddress> = emptyList()
     private val prefills = ArrayList<PrefillAnnouncement>()
@@ -42,6 +43,9 @@
     /** Called with the session announcements of other routers. */
     var onSession: (SessionAnnouncement) -> Unit = {}
 
+    /** Called with the canary announcements of other routers. */
+    var onCanary: (CanaryAnnouncement) -> Unit = {}
+
     /** Binds to the peer address. */
     fun listen() {
         val bootstrap = Bootstrap().group(group).channel(NioDatagramChannel::class.java).handler(Receiver())
@@ -78,8 +82,26 @@
     private fun isWorthAnnouncing(millis: Double): Boolean =
         millis >= MIN_PREFILL_MILLIS * maxOf(1, routing.routerCount / ROUTERS_AT_MIN_PREFILL)
 
-    /** Announces the version that a session runs on, or ran on until now. */
-    fun announceSession(announcement: SessionAnnouncement) {
+    override fun announceCanary(
+        service: String,
+        announcements: List<CanaryAnnouncement>,
+        rejected: Boolean,
+    ) {
+        val open = channel ?: return
+        val receivers = if (rejected) peers else canaryCollectors(service)
+        announcements.chunked(MAX_CANARIES_PER_DATAGRAM).map { encode(PeerMessage(canaries = it)) }.forEach { bytes ->
+            receivers.forEach { open.write(DatagramPacket(Unpooled.wrappedBuffer(bytes), it)) }
+        }
+        open.flush()
+    }
+
+    /** The routers that pool the counts of [service]: the same ones at every router, whatever the size of the fleet. */
+    private fun canaryCollectors(service: String): List<InetSocketAddress> {
+        val routers = peers + socketAddress(address)
+        return RendezvousHash.choose(service, routers, CANARY_COLLECTORS) { "$it" } - socketAddress(address)
+    }
+
+    override fun announceSession(announcement: SessionAnnouncement) {
         if (peers.isEmpty()) return
         scheduleFlush()
         sessions += announcement
@@ -104,12 +126,15 @@
         prefills.clear()
         sessions.clear()
         val open = channel ?: return
-        messages.map { json.encodeToString(PeerMessage.serializer(), it).toByteArray() }.forEach { bytes ->
+        messages.map(::encode).forEach { bytes ->
             peers.forEach { open.write(DatagramPacket(Unpooled.wrappedBuffer(bytes), it)) }
         }
         open.flush()
     }
 
+    private fun encode(message: PeerMessage): ByteArray =
+        json.encodeToString(PeerMessage.serializer(), message).toByteArray()
+
     private fun handleMessage(text: String) {
         val message =
             try {
@@ -120,6 +145,7 @@
             }
         message.prefills.forEach(::applyPrefill)
         message.sessions.forEach(onSession)
+        message.canaries.forEach(onCanary)
     }
 
     private fun applyPrefill(announcement: PrefillAnnouncement) {
@@ -154,6 +180,12 @@
         const val MIN_PREFILL_MILLIS = 60.0
         const val ROUTERS_AT_MIN_PREFILL = 8
 
+        /** So many announcements of about 120 bytes fit into one packet. */
+        const val MAX_CANARIES_PER_DATAGRAM = 8
+
+        /** One is enough; more of them cover for routers that are lost or cut off. */
+        const val CANARY_COLLECTORS = 3
+
         /** Announcements within this time are sent together. */
         const val BATCH_DELAY_MILLIS = 2L
     }
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/state/HttpStoreClient.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/state/HttpStoreClient.kt
@@ -80,7 +80,12 @@
         }
 
         override fun onContent(bytes: ByteBuf) {
-            bytes.readBytes(body, bytes.readableBytes())
+            if (body.size() + bytes.readableBytes() <= MAX_BODY_BYTES) {
+                bytes.readBytes(body, bytes.readableBytes())
+            } else {
+                outbound?.cancel()
+                onFailure(sent = true, reason = "a body above $MAX_BODY_BYTES bytes")
+            }
         }
 
         override fun onEnd() {
@@ -128,6 +133,9 @@
 
     private companion object {
         const val TOO_MANY_REQUESTS = 429
+
+        /** 16 MiB; a page holds about 1 MB, and a watch returns the changes of some seconds. */
+        const val MAX_BODY_BYTES = 16_777_216
         const val FIRST_SERVER_ERROR = 500
     }
 }
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/state/RollOutController.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/state/RollOutController.kt
@@ -2,10 +2,14 @@
 
 import com.google.common.hash.Hashing
 import dev.almondhaven.decision.traffic.ActiveSession
-import dev.almondhaven.decision.traffic.CanaryComparison
+import dev.almondhaven.decision.traffic.AnswerTimes
+import dev.almondhaven.decision.traffic.CanaryCounts
+import dev.almondhaven.decision.traffic.CanaryEvidence
 import dev.almondhaven.decision.traffic.RollOutSchedule
 import dev.almondhaven.decision.traffic.SessionVersions
 import dev.almondhaven.decision.traffic.VersionConstraint
+import dev.almondhaven.gateway.peer.CanaryAnnouncement
+import dev.almondhaven.gateway.peer.RollOutAnnouncer
 import dev.almondhaven.gateway.peer.SessionAnnouncement
 import dev.almondhaven.model.LogEvent
 import dev.almondhaven.model.NanoClock
@@ -23,29 +27,39 @@
 private val logger = KotlinLogging.logger {}
 
 /**
- * Carries out the operator's orders to roll services out to another version. Every router decides on its own evidence;
- * a decision is stored in the order's entry by a compare-and-set write, so that the first decision binds all routers.
+ * Carries out the operator's orders to roll services out to another version. A router decides on its own evidence and
+ * on what other routers announce; a decision is stored in the order's entry by a compare-and-set write, so that the
+ * first decision binds all routers. A router that hears that another one has rejected a version stops using it at once,
+ * and writes the decision itself if the other one does not.
  * Must be used on the event loop only.
  */
 internal class RollOutController(
+    private val router: String,
     private val bounds: TrafficBounds,
     private val store: StoreClient,
     private val loop: EventLoop,
     private val clock: NanoClock,
     private val random: UniformRandomProvider,
-    private val announce: (SessionAnnouncement) -> Unit,
+    private val announcer: RollOutAnnouncer,
+    private val routerCount: () -> Int,
 ) {
     private class ActiveRollOut(
         var order: RollOutOrder,
         val startedAt: Long,
     ) {
         val schedule = RollOutSchedule(order.within)
-        val comparison = CanaryComparison()
+        val evidence = CanaryEvidence()
         var requestedState: RollOutState? = null
+
+        /** The own counts of each route that were last announced. */
+        var announced: Map<String, CanaryCounts> = emptyMap()
+
+        val isDecided: Boolean get() = order.state == RollOutState.DONE || order.state == RollOutState.ROLLED_BACK
     }
 
     private val activeRollOuts = HashMap<ServiceId, ActiveRollOut>()
     private val sessions = HashMap<ServiceId, SessionVersions>()
+    private val answerTimes = HashMap<ServiceId, AnswerTimes>()
 
     fun start() {
         loop.scheduleWithFixedDelay(
@@ -171,10 +185,15 @@
     ) {
         val rollOut = activeRollOuts[service] ?: return
         val elapsed = clock.elapsed(rollOut.startedAt)
-        val isFinal = rollOut.order.state == RollOutState.DONE || rollOut.order.state == RollOutState.ROLLED_BACK
-        if (isFinal || rollOut.schedule.allowsSessionMoves(elapsed) || session.version == rollOut.order.target) return
+        if (rollOut.isDecided || rollOut.schedule.allowsSessionMoves(elapsed) ||
+            session.version == rollOut.order.target
+        ) {
+            return
+        }
         if (hashFraction(session.id) < rollOut.schedule.share(elapsed)) {
-            announce(SessionAnnouncement(service.value, session.id, session.version, session.isRunning))
+            announcer.announceSession(
+                SessionAnnouncement(service.value, session.id, session.version, session.isRunning),
+            )
         }
     }
 
@@ -183,26 +202,109 @@
         return (hash ushr UNUSED_BITS).toDouble() / (1L shl (Long.SIZE_BITS - UNUSED_BITS))
     }
 
-    /** Records a response of an endpoint of [version] as evidence for or against the new version. */
+    /**
+     * Whether an answer of [version] took much longer than is usual for the service's current version. [kind] names
+     * the kind of work, which was expected to take [expectedMillis].
+     */
+    fun isSlow(
+        service: ServiceId,
+        version: String,
+        kind: String,
+        millis: Double,
+        expectedMillis: Double,
+    ): Boolean {
+        val times = answerTimes.getOrPut(service, ::AnswerTimes)
+        val slow = times.isSlow(kind, millis, expectedMillis)
+        if (activeRollOuts[service]?.order?.target != version) times.learn(kind, millis, expectedMillis)
+        return slow
+    }
+
+    /**
+     * Records a response of an endpoint of [version] to a request of [route] as evidence for or against the new
+     * version; [bad] if it failed or was slow.
+     */
     fun recordResponse(
         service: ServiceId,
         version: String,
-        failed: Boolean,
+        route: String,
+        bad: Boolean,
     ) {
         val rollOut = activeRollOuts[service] ?: return
-        if (rollOut.order.state == RollOutState.DONE || rollOut.order.state == RollOutState.ROLLED_BACK) return
-        rollOut.comparison.record(version == rollOut.order.target, failed)
-        if (failed && version == rollOut.order.target && rollOut.comparison.isCanaryWorse()) {
-            requestState(rollOut, RollOutState.ROLLED_BACK)
+        if (rollOut.isDecided) return
+        val isCanary = version == rollOut.order.target
+        rollOut.evidence.record(route, isCanary, bad)
+        if (isCanary && bad) {
+            announceCanary(rollOut)
+            rejectIfWorse(rollOut)
         }
     }
 
+    /** Announces the routes on which the canary has answered since the last announcement. */
+    private fun announceCanary(rollOut: ActiveRollOut) {
+        val counts = rollOut.evidence.ownCounts
+        val changed =
+            counts.filter { (route, now) ->
+                now.canaryAnswers != (rollOut.announced[route] ?: CanaryCounts()).canaryAnswers
+            }
+        if (changed.isEmpty()) return
+        rollOut.announced = counts
+        announce(rollOut, changed, rejected = false)
+    }
+
+    private fun announce(
+        rollOut: ActiveRollOut,
+        counts: Map<String, CanaryCounts>,
+        rejected: Boolean,
+    ) {
+        val service = rollOut.order.service.value
+        val announcements =
+            counts.map { (route, own) ->
+                CanaryAnnouncement.of(service, rollOut.order.creationRevision, router, route, own, rejected)
+            }
+        announcer.announceCanary(service, announcements, rejected)
+    }
+
+    private fun rejectIfWorse(rollOut: ActiveRollOut) {
+        if (rollOut.requestedState == RollOutState.ROLLED_BACK) return
+        if (!rollOut.evidence.isCanaryWorse(routerCount())) return
+        requestState(rollOut, RollOutState.ROLLED_BACK)
+        announce(rollOut, rollOut.evidence.ownCounts, rejected = true)
+    }
+
+    /** Applies what another router announced about a canary; an announcement about another order is ignored. */
+    fun applyCanary(announcement: CanaryAnnouncement) {
+        val rollOut = activeRollOuts[ServiceId(announcement.service)] ?: return
+        if (rollOut.order.creationRevision != announcement.order || rollOut.isDecided) return
+        val counts = announcement.counts() ?: return
+        rollOut.evidence.recordAnnounced(announcement.router, announcement.route, counts)
+        if (announcement.rejected) stopCanary(rollOut, announcement.router) else rejectIfWorse(rollOut)
+    }
+
+    /** Stops using the canary that [decider] has rejected, and writes the decision later if it is not stored by then. */
+    private fun stopCanary(
+        rollOut: ActiveRollOut,
+        decider: String,
+    ) {
+        if (rollOut.requestedState == RollOutState.ROLLED_BACK) return
+        rollOut.requestedState = RollOutState.ROLLED_BACK
+        LogEvent.ROLL_OUT_DECIDED.log(logger) {
+            "service=${rollOut.order.service} state=${RollOutState.ROLLED_BACK} decider=$decider " +
+                "evidence=${rollOut.evidence}"
+        }
+        loop.schedule(
+            { retryWrite(rollOut, RollOutState.ROLLED_BACK) },
+            PEER_WRITE_MILLIS + random.nextLong(MAX_JITTER_MILLIS),
+            TimeUnit.MILLISECONDS,
+        )
+    }
+
     private fun checkProgress() {
         activeRollOuts.values.forEach { rollOut ->
             val state = rollOut.order.state
             val elapsed = clock.elapsed(rollOut.startedAt)
+            if (!rollOut.isDecided) announceCanary(rollOut)
             when {
-                state == RollOutState.DONE || state == RollOutState.ROLLED_BACK -> Unit
+                rollOut.isDecided -> Unit
                 rollOut.schedule.isComplete(elapsed) -> requestState(rollOut, RollOutState.DONE)
                 state == RollOutState.ORDERED -> requestState(rollOut, RollOutState.RUNNING)
             }
@@ -220,7 +322,7 @@
         if (rollOut.requestedState == state || rollOut.requestedState == RollOutState.ROLLED_BACK) return
         rollOut.requestedState = state
         LogEvent.ROLL_OUT_DECIDED.log(logger) {
-            "service=${rollOut.order.service} state=$state evidence=${rollOut.comparison}"
+            "service=${rollOut.order.service} state=$state evidence=${rollOut.evidence}"
         }
         val delay = if (state == RollOutState.ROLLED_BACK) 0L else random.nextLong(MAX_JITTER_MILLIS)
         loop.schedule({ write(rollOut, state) }, delay, TimeUnit.MILLISECONDS)
@@ -261,6 +363,9 @@
         const val CHECK_INTERVAL_MILLIS = 200L
         const val MAX_JITTER_MILLIS = 400L
 
+        /** Time that the router which rejected a version has to store its decision. */
+        const val PEER_WRITE_MILLIS = 800L
+
         /** The upper 53 bits of a hash are exactly representable in a [Double]. */
         const val UNUSED_BITS = 11
         val WRITE_TIMEOUT = 1_000.milliseconds
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/state/RoutingState.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/state/RoutingState.kt
@@ -2,11 +2,13 @@
 
 import dev.almondhaven.decision.traffic.EndpointView
 import dev.almondhaven.decision.traffic.SlidingRetryBudget
+import dev.almondhaven.decision.traffic.WarmUpShare
 import dev.almondhaven.gateway.net.ConnectionPool
 import dev.almondhaven.model.EndpointId
 import dev.almondhaven.model.LogEvent
 import dev.almondhaven.model.NanoClock
 import dev.almondhaven.model.ServiceId
+import dev.almondhaven.platform.StoreKind
 import dev.almondhaven.traffic.CallerLimits
 import dev.almondhaven.traffic.EndpointListing
 import dev.almondhaven.traffic.RollOutOrder
@@ -14,6 +16,7 @@
 import dev.almondhaven.traffic.TrafficConfiguration
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.netty.channel.EventLoop
+import java.util.EnumSet
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -34,19 +37,35 @@
     var configuration: TrafficConfiguration? = null
         private set
 
-    /** Whether the endpoint list has been loaded. */
-    var hasEndpointList = false
-        private set
-    var evacuatedDomains: Set<String> = emptySet()
-    val rollOuts = HashMap<ServiceId, RollOutOrder>()
+    private val listedKinds = EnumSet.noneOf(StoreKind::class.java)
 
     /**
-     * Number of routers that share the bounds. Until the routers are listed, an estimate above the size of small
-     * deployments.
+     * Whether everything that binds the choice of an endpoint is known. A router that started with a part of it could
+     * send requests to an evacuated failure domain or to a version that was rolled back.
      */
-    var routerCount = ROUTERS_BEFORE_LISTING
+    val isLoaded: Boolean get() = configuration != null && listedKinds.containsAll(KINDS_BINDING_PLACEMENT)
+    var evacuatedDomains: Set<String> = emptySet()
+    val rollOuts = HashMap<ServiceId, RollOutOrder>()
+
+    /** Number of routers that share the bounds. */
+    var routerCount = 1
+        private set
+
+    /** This router's place among them. */
+    private var routerPosition = 0
     val limits: CallerLimits get() = configuration?.limits ?: CallerLimits.BEFORE_CONFIGURATION
 
+    /** Sets the number of routers that share the bounds and this router's place among them, from 0. */
+    fun setRouters(
+        count: Int,
+        position: Int,
+    ) {
+        require(position in 0 until count) { "position must be from 0 to ${count - 1}, got $position" }
+        routerCount = count
+        routerPosition = position
+        services.values.forEach { it.retryBudget.slack = retrySlackShare() }
+    }
+
     fun configure(next: TrafficConfiguration) {
         val previous = configuration
         if (previous != null && next.version <= previous.version) return
@@ -56,6 +75,11 @@
         ) { "version=${next.version} before=${previous?.version} routes=${next.routes.size}" }
     }
 
+    /** Records that all objects of [kind] have been listed. */
+    fun markListed(kind: StoreKind) {
+        listedKinds += kind
+    }
+
     /** The endpoint [id], or null if it is not known. */
     fun endpoint(id: EndpointId): EndpointHandle? = services.values.firstNotNullOfOrNull { it.endpoints[id] }
 
@@ -66,12 +90,12 @@
 
     private fun serviceEndpoints(service: ServiceId): ServiceEndpoints =
         services.getOrPut(service) {
-            ServiceEndpoints(service) {
-                val slack = bounds.retrySlack * USED_BUDGET_SHARE / routerCount
-                SlidingRetryBudget(bounds.retryWindow, bounds.retryRatio * USED_BUDGET_SHARE, slack)
-            }
+            val ratio = bounds.retryRatio * USED_BUDGET_SHARE
+            ServiceEndpoints(service, SlidingRetryBudget(bounds.retryWindow, ratio, retrySlackShare()))
         }
 
+    private fun retrySlackShare(): Double = bounds.retrySlack * USED_BUDGET_SHARE / routerCount
+
     /**
      * Applies a complete endpoint list. Endpoints missing from it are removed at [removeAt], or at once if that has
      * passed.
@@ -80,7 +104,6 @@
         listings: List<EndpointListing>,
         removeAt: Long,
     ) {
-        hasEndpointList = true
         listings.forEach(::update)
         val present = listings.map { it.id }.toSet()
         val missing = services.values.flatMap { it.endpoints.keys }.filter { it !in present }
@@ -137,12 +160,24 @@
                     kvCacheTokens,
                     serviceEndpoints(listing.service).prefillSpeed,
                     clock.nanos(),
+                    { warmUpShare(listing) },
                 ),
                 pool,
             )
         return endpoint
     }
 
+    /** The turns of the routers begin with another router at each endpoint, so that no router is always the first. */
+    private fun warmUpShare(listing: EndpointListing): WarmUpShare {
+        val perSecond = configuration?.services?.get(listing.service)?.coldRequestsPerSecond ?: 0.0
+        return WarmUpShare(
+            perSecond = perSecond,
+            burst = (bounds.warmUpOvershoot - 1) * perSecond + bounds.warmUpSlack,
+            routers = routerCount,
+            position = (routerPosition + listing.id.hashCode()).mod(routerCount),
+        )
+    }
+
     private fun close(endpoint: EndpointHandle) {
         endpoint.pool.close()
         endpoint.state.health.retire()
@@ -174,7 +209,8 @@
     }
 
     companion object {
-        private const val ROUTERS_BEFORE_LISTING = 8
+        private val KINDS_BINDING_PLACEMENT =
+            setOf(StoreKind.ENDPOINTS, StoreKind.EVACUATIONS, StoreKind.ROLL_OUTS, StoreKind.ROUTERS)
         private const val NANOS_PER_MILLI = 1_000_000L
 
         /**
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/state/ServiceEndpoints.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/state/ServiceEndpoints.kt
@@ -11,11 +11,8 @@
  */
 internal class ServiceEndpoints(
     val service: ServiceId,
-    newRetryBudget: () -> SlidingRetryBudget,
+    val retryBudget: SlidingRetryBudget,
 ) {
-    /** Created with the first request, when the number of routers that share the budget is known. */
-    val retryBudget: SlidingRetryBudget by lazy(LazyThreadSafetyMode.NONE, newRetryBudget)
-
     /**
      * Nearly all endpoints may be ejected: a router in a failure domain that is cut off reaches only the endpoints
      * there.
--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/GatewayFixture.kt
@@ -14,6 +14,7 @@
 import java.net.InetSocketAddress
 import java.net.Socket
 import java.net.SocketException
+import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration.Companion.seconds
 
@@ -21,11 +22,20 @@
  * A gateway in front of [endpoints], with a store that lists them; all in this process on loopback.
  *
  * @param allowsRetries whether the retry budget allows any retries.
+ * @param heldPath path of the store's objects that it doesn't return until [releaseStore].
+ * @param evacuatedDomain failure domain that the store lists as evacuated; null for none.
  */
 internal class GatewayFixture(
     private val endpoints: List<ScriptedEndpoint>,
     allowsRetries: Boolean = true,
+    private val heldPath: String? = null,
+    private val evacuatedDomain: String? = null,
 ) : AutoCloseable {
+    private val heldResponses = ConcurrentLinkedQueue<() -> Unit>()
+
+    @Volatile
+    private var isStoreReleased = false
+
     private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
     private val store = CallerServer(group, { CallerLimits.BEFORE_CONFIGURATION }, { false }, storeHandler())
     private val storePort = (store.listen("127.0.0.1:0").localAddress() as InetSocketAddress).port
@@ -46,17 +56,32 @@
         )
 
     init {
+        if (heldPath == null) awaitReady()
+        endpoints.forEach { it.requestHeads.clear() }
+    }
+
+    private fun awaitReady() {
         repeat(MAX_READY_CHECKS) {
-            if (!call("${WireSamples.UNARY_PATH}ready", id = "ready").startsWith("HTTP/1.1 503")) return@repeat
+            if (!call("${WireSamples.UNARY_PATH}ready", id = "ready").startsWith("HTTP/1.1 503")) return
             TimeUnit.MILLISECONDS.sleep(READY_CHECK_INTERVAL_MILLIS)
         }
-        endpoints.forEach { it.requestHeads.clear() }
     }
 
+    /** Lets the store return what it holds back. */
+    fun releaseStore(): Unit =
+        group
+            .next()
+            .submit {
+                isStoreReleased = true
+                heldResponses.forEach { it() }
+            }.get()
+            .let {}
+
     private fun storeHandler() =
         RequestHandler { request: CallerRequest, writer ->
-            val body = WireSamples.storeBody(request.path, endpoints.map { it.address })
-            writer.respond(OK, listOf("Content-Type" to "application/json"), body.toByteArray())
+            val body = WireSamples.storeBody(request.path, endpoints.map { it.address }, evacuatedDomain)
+            val respond = { writer.respond(OK, listOf("Content-Type" to "application/json"), body.toByteArray()) }
+            if (request.path == heldPath && !isStoreReleased) heldResponses += respond else respond()
             object : InFlightRequest {
                 override fun onCallerDisconnected() = Unit
 
--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/GatewayPathTest.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/GatewayPathTest.kt
@@ -8,8 +8,10 @@
 import strikt.assertions.contains
 import strikt.assertions.isEqualTo
 import strikt.assertions.startsWith
+import java.io.IOException
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicBoolean
 
 /** Sends requests through a complete gateway to endpoints with scripted responses. */
 class GatewayPathTest {
@@ -269,6 +271,94 @@
         }
     }
 
+    @Nested
+    inner class `an endpoint that sends without end` {
+        /** Writes [piece] until the router closes the connection, which it must do within [MAX_ENDLESS_BYTES]. */
+        private fun ScriptedEndpoint.ReceivedRequest.writeEndlessly(piece: String) {
+            val block = piece.repeat(BLOCK_BYTES / piece.length + 1)
+            try {
+                repeat(MAX_ENDLESS_BYTES / BLOCK_BYTES) { write(block) }
+                endedByRouter.set(false)
+            } catch (_: IOException) {
+                endedByRouter.set(true)
+            } finally {
+                ended.countDown()
+            }
+        }
+
+        private val ended = CountDownLatch(1)
+        private val endedByRouter = AtomicBoolean()
+
+        /** Returns the response to a request, and whether the router closed the connection of the endpoint. */
+        private fun callWith(
+            path: String,
+            script: (ScriptedEndpoint.ReceivedRequest) -> Unit,
+        ): Pair<String, Boolean> {
+            val (fixture, _) = start(script)
+            val response = status(fixture.call(path, "r-1"))
+            expectThat(ended.await(10, TimeUnit.SECONDS)).isEqualTo(true)
+            return response to endedByRouter.get()
+        }
+
+        private val badGateway = "HTTP/1.1 502 Bad Gateway" to true
+
+        @Test
+        fun `blank lines before a head is cut off, and the request is not called unexecuted`() {
+            expectThat(callWith(nonRetryablePath) { it.writeEndlessly("\r\n") }).isEqualTo(badGateway)
+        }
+
+        @Test
+        fun `interim responses is cut off`() {
+            expectThat(callWith(nonRetryablePath) { it.writeEndlessly("HTTP/1.1 103 Early Hints\r\n\r\n") })
+                .isEqualTo(badGateway)
+        }
+
+        @Test
+        fun `a response to another request is cut off`() {
+            val result =
+                callWith(nonRetryablePath) {
+                    it.write(it.head("200 OK", WireSamples.answerHeaders("r-0") + ("Content-Length" to "2000000000")))
+                    it.writeEndlessly("late")
+                }
+            expectThat(result).isEqualTo(badGateway)
+        }
+
+        @Test
+        fun `a body is cut off`() {
+            val result =
+                callWith(nonRetryablePath) {
+                    it.write(it.head("200 OK", WireSamples.answerHeaders(it.id)))
+                    it.writeEndlessly("body")
+                }
+            expectThat(result).isEqualTo(badGateway)
+        }
+
+        @Test
+        fun `the body of a response that states that it has not run the request is cut off, and that is passed on`() {
+            val result =
+                callWith(nonRetryablePath) {
+                    it.write(it.head("503 Service Unavailable", listOf(WireSamples.notRun())))
+                    it.writeEndlessly("busy")
+                }
+            expectThat(result).isEqualTo("HTTP/1.1 503 Service Unavailable" to true)
+        }
+
+        @Test
+        fun `an event is cut off, and the stream does not look complete`() {
+            val (fixture, _) =
+                start({
+                    it.write(it.head("200 OK", WireSamples.answerHeaders(it.id, confidence = 90)))
+                    it.write("id: 1\ndata: a\n\n")
+                    it.writeEndlessly("data: x\n")
+                })
+            val response = fixture.call(streamPath, "r-1")
+
+            expectThat(ended.await(10, TimeUnit.SECONDS)).isEqualTo(true)
+            expectThat(endedByRouter.get()).isEqualTo(true)
+            expectThat(response.endsWith("0\r\n\r\n")).isEqualTo(false)
+        }
+    }
+
     @Nested
     inner class `a rejected request` {
         @Test
@@ -305,4 +395,11 @@
             expectThat(fixture.call(unaryPath, "r-1", headers = long)).startsWith("HTTP/1.1 431 ")
         }
     }
+
+    private companion object {
+        const val BLOCK_BYTES = 65_536
+
+        /** 64 MiB, more than the router may hold of all responses together. */
+        const val MAX_ENDLESS_BYTES = 67_108_864
+    }
 }
--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/state/RollOutControllerTest.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/state/RollOutControllerTest.kt
@@ -1,6 +1,8 @@
 package dev.almondhaven.gateway.state
 
 import dev.almondhaven.decision.traffic.VersionConstraint
+import dev.almondhaven.gateway.peer.CanaryAnnouncement
+import dev.almondhaven.gateway.peer.RollOutAnnouncer
 import dev.almondhaven.gateway.peer.SessionAnnouncement
 import dev.almondhaven.model.NanoClock
 import dev.almondhaven.model.ServiceId
@@ -13,20 +15,40 @@
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
+import java.util.concurrent.TimeUnit
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 class RollOutControllerTest {
     private var now = 0L
     private val announced = ArrayList<SessionAnnouncement>()
+    private val canaries = ArrayList<CanaryAnnouncement>()
+    private val announcer =
+        object : RollOutAnnouncer {
+            override fun announceSession(announcement: SessionAnnouncement) {
+                announced += announcement
+            }
+
+            override fun announceCanary(
+                service: String,
+                announcements: List<CanaryAnnouncement>,
+                rejected: Boolean,
+            ) {
+                canaries += announcements
+            }
+        }
+    private val store = ScriptedStoreClient()
+    private val channel = EmbeddedChannel()
     private val rollOuts =
         RollOutController(
+            "router-0",
             TrafficBounds(8.seconds, 2.seconds, 5.seconds, 0.9, 50.0, 10.seconds, sessionIdleTimeout = 5.seconds),
-            ScriptedStoreClient(),
-            EmbeddedChannel().eventLoop(),
+            store,
+            channel.eventLoop(),
             NanoClock { now },
             RandomSource.SPLIT_MIX_64.create(1L),
-            { announced += it },
+            announcer,
+            { 37 },
         )
     private val service = ServiceId("engines")
     private val old = VersionConstraint.Except("v2")
@@ -130,6 +152,96 @@
         }
     }
 
+    @Nested
+    inner class `a bad version in a fleet, of which each router sees a single failure,` {
+        private val rejected = VersionConstraint.Except("v2", strict = true)
+
+        private fun failureAt(
+            router: String,
+            rejected: Boolean = false,
+            order: Long = 1,
+        ) = CanaryAnnouncement("engines", order, router, "draft", 8, 0, 1, 1, rejected)
+
+        private fun advance(millis: Long) {
+            channel.advanceTimeBy(millis, TimeUnit.MILLISECONDS)
+            channel.runScheduledPendingTasks()
+        }
+
+        @Test
+        fun `is rejected by the router that pools what the others announce`() {
+            startRollOut()
+            val session = trialSession()
+            val before = versionFor(session, 1_000)
+            rollOuts.recordResponse(service, "v2", "draft", bad = true)
+            (1..4).forEach { rollOuts.applyCanary(failureAt("router-$it")) }
+            advance(0)
+
+            expectThat(listOf(before, versionFor(session, 1_000))).isEqualTo(listOf(new, rejected))
+            expectThat(store.calls.map { it.path }).isEqualTo(listOf("/objects/rollouts/engines/status"))
+            expectThat(canaries.toList()).isEqualTo(
+                listOf(false, true).map {
+                    CanaryAnnouncement("engines", 1, "router-0", "draft", 0, 0, 1, 1, rejected = it)
+                },
+            )
+        }
+
+        @Test
+        fun `is left at once by a router that hears of it, which stores it only if the other one does not`() {
+            startRollOut()
+            val session = trialSession()
+            rollOuts.applyCanary(failureAt("router-1", rejected = true))
+            val heard = versionFor(session, 1_000)
+            advance(700)
+            val early = store.calls.size
+            advance(600)
+
+            expectThat(heard).isEqualTo(rejected)
+            expectThat(listOf(early, store.calls.size)).isEqualTo(listOf(0, 1))
+        }
+
+        @Test
+        fun `is not judged by announcements about an earlier order or with impossible counts`() {
+            startRollOut()
+            val session = trialSession()
+            rollOuts.applyCanary(failureAt("router-1", rejected = true, order = 0))
+            (1..9).forEach { rollOuts.applyCanary(failureAt("router-$it").copy(canaryFailures = 2, rejected = true)) }
+
+            expectThat(versionFor(session, 1_000)).isEqualTo(new)
+        }
+
+        @Test
+        fun `is announced with its answers, at most once an interval`() {
+            rollOuts.start()
+            startRollOut()
+            repeat(5) { rollOuts.recordResponse(service, "v2", "draft", bad = false) }
+            advance(200)
+            advance(200)
+
+            expectThat(canaries.toList())
+                .isEqualTo(listOf(CanaryAnnouncement("engines", 1, "router-0", "draft", 0, 0, 5, 0)))
+        }
+
+        @Test
+        fun `is found if its answers are right but slow`() {
+            startRollOut()
+            val session = trialSession()
+
+            fun record(
+                version: String,
+                millis: Double,
+            ) {
+                val slow = rollOuts.isSlow(service, version, "draft/m0", millis, expectedMillis = 50.0)
+                rollOuts.recordResponse(service, version, "draft", slow)
+            }
+            repeat(40) { record("v1", millis = 60.0 + it % 7) }
+            repeat(5) { record("v2", millis = 65.0) }
+            val before = versionFor(session, 1_000)
+            repeat(7) { record("v2", millis = 480.0) }
+
+            expectThat(listOf(before, versionFor(session, 1_000))).isEqualTo(listOf(new, rejected))
+        }
+    }
+
     @Nested
     inner class `in the second half a session` {
         @Test
--- a/model/src/main/kotlin/dev/almondhaven/traffic/TrafficBounds.kt
+++ b/model/src/main/kotlin/dev/almondhaven/traffic/TrafficBounds.kt
@@ -11,6 +11,8 @@
  * @property retryRatio retries that a service may get per request, in any window of length [retryWindow].
  * @property retrySlack retries allowed in each window in addition to those.
  * @property sessionIdleTimeout requests of a session that follow each other within this time belong together.
+ * @property warmUpOvershoot factor on a cold endpoint's rate that all routers together may reach in one second.
+ * @property warmUpSlack requests that they may send it in that second in addition.
  */
 public data class TrafficBounds(
     public val shutdownGracePeriod: Duration,
@@ -20,4 +22,6 @@
     public val retrySlack: Double,
     public val retryWindow: Duration,
     public val sessionIdleTimeout: Duration,
+    public val warmUpOvershoot: Double = 1.5,
+    public val warmUpSlack: Double = 5.0,
 )
