--- a/decision/src/main/kotlin/dev/almondhaven/decision/traffic/EndpointPlacement.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/traffic/EndpointPlacement.kt
@@ -17,6 +17,9 @@
 public class EndpointPlacement(
     private val ownDomain: FailureDomainId,
 ) {
+    /** The failure domains that this router can't reach, whose endpoints are a last resort. */
+    public val reachability: DomainReachability = DomainReachability()
+
     /** The candidate of least cost that admits a request at [now], or null if there is none. */
     public fun choose(
         candidates: List<EndpointView>,
@@ -46,7 +49,9 @@
         val coldPenalty = if (endpoint.warmUp.isCold(now)) COLD_PENALTY_MILLIS else 0.0
         val load = endpoint.requests(now).toDouble() / endpoint.listing.slots
         val failurePenalty = endpoint.failureRate.at(now) * FAILURE_PENALTY_MILLIS
-        return distance + coldPenalty + failurePenalty +
+        val unreachable = reachability.isUnreachable(endpoint.listing.failureDomain, now)
+        val outagePenalty = if (unreachable) UNREACHABLE_DOMAIN_MILLIS else 0.0
+        return distance + coldPenalty + failurePenalty + outagePenalty +
             if (request.model.isEmpty()) {
                 load * FULL_SERVICE_MILLIS
             } else {
@@ -104,6 +109,9 @@
         /** A failed request costs a retry, or the whole request where it can't be retried. */
         const val FAILURE_PENALTY_MILLIS = 400.0
 
+        /** More than any queue; an endpoint in an unreachable domain is chosen only if there is no other. */
+        const val UNREACHABLE_DOMAIN_MILLIS = 60_000.0
+
         /** At a plain service whose slots are all taken, a request waits for about one service time. */
         const val FULL_SERVICE_MILLIS = 60.0
 
--- a/decision/src/test/kotlin/dev/almondhaven/decision/traffic/EndpointPlacementTest.kt
+++ b/decision/src/test/kotlin/dev/almondhaven/decision/traffic/EndpointPlacementTest.kt
@@ -13,6 +13,7 @@
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
+import strikt.assertions.isLessThanOrEqualTo
 import strikt.assertions.isNotEqualTo
 import kotlin.time.Duration
 
@@ -145,6 +146,58 @@
         }
     }
 
+    @Nested
+    inner class `a failure domain of 13 engines that is cut off` {
+        private val engines =
+            List(65) { endpoint("engine$it", domain = "domain${it / 13}") }
+        private val tick = second / 50
+
+        /** Requests of one router within five seconds of the cut that wait for a connection in vain. */
+        private fun requestsInVain(reportsDomains: Boolean): Int {
+            var failed = 0
+            for (request in 0 until 250) {
+                val now = request * tick
+                val chosen = placement.choose(engines, prompt("subject$request"), now)!!
+                val domain = chosen.listing.failureDomain
+                chosen.recordStart(0.0, now)
+                placement.reachability.recordSent(domain, now)
+                if (domain.value == "domain3") {
+                    failed++
+                    chosen.recordUnreachable(now, random)
+                    if (reportsDomains) placement.reachability.recordUnreachable(domain, chosen.listing.id, now)
+                } else {
+                    chosen.recordSuccess(now)
+                    placement.reachability.recordReached(domain)
+                }
+                chosen.recordEnd(now)
+            }
+            return failed
+        }
+
+        @Test
+        fun `costs one router a probe a second once two engines are found unreachable`() {
+            expectThat(requestsInVain(reportsDomains = true)).isLessThanOrEqualTo(2 + 5)
+        }
+
+        @Test
+        fun `costs it a request for every engine if engines are judged one by one`() {
+            expectThat(requestsInVain(reportsDomains = false)).isGreaterThan(13)
+        }
+
+        @Test
+        fun `gets requests again as soon as one of its engines has answered, and while there are no others`() {
+            val cut = engines.filter { it.listing.failureDomain.value == "domain3" }
+            cut.take(2).forEach { placement.reachability.recordUnreachable(it.listing.failureDomain, it.listing.id, 0) }
+            val domain = cut.first().listing.failureDomain
+            val whileCut = placement.reachability.isUnreachable(domain, second / 2)
+            val lastResort = placement.choose(cut, plainRequest, second / 2)
+            placement.reachability.recordReached(domain)
+
+            expectThat(whileCut to placement.reachability.isUnreachable(domain, second / 2)).isEqualTo(true to false)
+            expectThat(lastResort).isNotEqualTo(null)
+        }
+    }
+
     @Nested
     inner class `an announced prefill` {
         @Test
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Attempt.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Attempt.kt
@@ -88,6 +88,7 @@
             endpointState.prefixCache.recordPrefill(placementRequest.model, placementRequest.promptParts)
         }
         endpointState.recordStart(prefillMillis, now)
+        context.placement.reachability.recordSent(listing.failureDomain, now)
         call.demand.session?.let { context.rollOuts.runStarted(call.service, it, listing.version) }
         context.peers.announcePrefillStart(prefillKey(), listing.id, prefillMillis)
         val terms =
@@ -135,6 +136,7 @@
             }
             return HeadAction.SKIP
         }
+        context.placement.reachability.recordReached(endpointState.listing.failureDomain)
         signals.load?.let { endpointState.recordLoad(it, context.clock.nanos()) }
         signals.coldLeft?.let {
             val now = context.clock.nanos()
@@ -336,6 +338,8 @@
     }
 
     private fun recordUnreachable() {
+        val listing = endpointState.listing
+        context.placement.reachability.recordUnreachable(listing.failureDomain, listing.id, context.clock.nanos())
         if (endpointState.recordUnreachable(context.clock.nanos(), context.random)) {
             LogEvent.ENDPOINT_EJECTED.log(
                 logger,
