Copy a billing record to a peer at once

Cause: a record waited up to 250 ms for its batch to be sealed and up to 50 ms for the tick that copies it.

Change: without a copy on its way a record is sealed and copied as it comes; while one is, records wait for it and go together (BillingPropertyTest; the old outbox has no such rule and returns nothing for the first record). A failed copy is tried again with the next tick, so an unreachable peer isn't called in a loop.

Weighed and not built: holding back the end of each answer until its copy is acknowledged.

--- a/decision/src/main/kotlin/dev/almondhaven/decision/billing/BillingOutbox.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/billing/BillingOutbox.kt
@@ -70,13 +70,20 @@
         return true
     }
 
-    /** Seals the open records if they are enough or old enough, or if [force]; returns the batch to copy to a peer. */
+    /**
+     * Seals the open records if they are enough or old enough, or if [force]; returns the batch to copy to a peer.
+     * While [copyOnItsWay] to the peer, records wait for it so that the next copy takes them together; otherwise they
+     * are sealed at once, since they are lost with this router until a peer has them.
+     */
     public fun seal(
         now: Long,
         wallMillis: Long,
         force: Boolean = false,
+        copyOnItsWay: Boolean = true,
     ): SealedBatch? {
-        val due = openRecords.size >= limits.maxBatchRecords || now - openedAt >= limits.sealAfter.inWholeNanoseconds
+        val due =
+            !copyOnItsWay || openRecords.size >= limits.maxBatchRecords ||
+                now - openedAt >= limits.sealAfter.inWholeNanoseconds
         if (openRecords.isEmpty() || !(due || force)) return null
         lastBatchNumber++
         val batch = SealedBatch(BatchName(self, lastBatchNumber), wallMillis, openRecords.take(limits.maxBatchRecords))
--- a/decision/src/test/kotlin/dev/almondhaven/decision/billing/BillingPropertyTest.kt
+++ b/decision/src/test/kotlin/dev/almondhaven/decision/billing/BillingPropertyTest.kt
@@ -97,6 +97,20 @@
             expectThat(outbox.takeDue(40 * SECOND, limit = 1)).isEqualTo(listOf(batch))
         }
 
+        @Test
+        fun `seals a record at once, or with others that come while a copy is on its way to the peer`() {
+            val outbox = BillingOutbox(RouterId("a"))
+            outbox.add(record("one"), now = 0)
+            val first = outbox.seal(now = 0, wallMillis = 1, copyOnItsWay = false)
+            outbox.add(record("two"), now = 1)
+            outbox.add(record("three"), now = 2)
+            val meanwhile = outbox.seal(now = 2, wallMillis = 1, copyOnItsWay = true)
+            val next = outbox.seal(now = 3, wallMillis = 1, copyOnItsWay = false)
+
+            expectThat(listOf(first, meanwhile, next))
+                .isEqualTo(listOf(batch(1, record("one")), null, batch(2, record("two"), record("three"))))
+        }
+
         @Test
         fun `keeps an hour of records at the two-year rate and counts those that overflow`() {
             val outbox = BillingOutbox(RouterId("a"))
--- a/router/src/main/kotlin/dev/almondhaven/router/billing/BillingController.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/billing/BillingController.kt
@@ -85,7 +85,7 @@
 
     private fun handle(message: BillingMessage) {
         when (message) {
-            is BillingMessage.RecordAdded -> if (!outbox.add(message.record, clock.nanos())) logOverflow(message.record)
+            is BillingMessage.RecordAdded -> addRecord(message.record)
             is BillingMessage.BatchesStored -> markStored(message)
             is BillingMessage.CopiesChanged -> holdCopies(message.request)
             is BillingMessage.CopyCompleted -> completeCopy(message)
@@ -95,6 +95,18 @@
         }
     }
 
+    private fun addRecord(record: BillingRecord) {
+        if (!outbox.add(record, clock.nanos())) return logOverflow(record)
+        copyAtOnce()
+    }
+
+    /** Copies the open records to a peer unless a copy is on its way, which takes them along when it has arrived. */
+    private fun copyAtOnce() {
+        if (copiesInFlight.isNotEmpty() || copyPeerOrNull() == null) return
+        seal(force = false)
+        copyToPeer()
+    }
+
     private fun markStored(message: BillingMessage.BatchesStored) {
         message.names.forEach { if (outbox.markStored(it)) releasedBatches += it }
         outbox.resetResendDelays(clock.nanos())
@@ -150,8 +162,11 @@
     }
 
     private fun seal(force: Boolean) {
-        var batch = outbox.seal(clock.nanos(), System.currentTimeMillis(), force)
-        while (batch != null) batch = outbox.seal(clock.nanos(), System.currentTimeMillis(), force)
+        val copyOnItsWay = copiesInFlight.isNotEmpty() || copyPeerOrNull() == null
+
+        fun next() = outbox.seal(clock.nanos(), System.currentTimeMillis(), force, copyOnItsWay)
+        var batch = next()
+        while (batch != null) batch = next()
     }
 
     /** Sends a peer copies of the batches that no live router holds, and the names of the copies that it may drop. */
@@ -173,7 +188,10 @@
 
     private fun completeCopy(message: BillingMessage.CopyCompleted) {
         copiesInFlight -= message.names.toSet()
-        message.holder?.let { holder -> message.names.forEach { outbox.markCopied(it, holder) } }
+        // After a failure the next tick tries again.
+        val holder = message.holder ?: return
+        message.names.forEach { outbox.markCopied(it, holder) }
+        copyAtOnce()
     }
 
     private fun sendToWriter(batch: SealedBatch) {
