Judge the speed of a version by answers that met no queue

Cause: the current version's endpoints had queues (answers at 4 to 9 times the expected time in the middle), the canary's, with 8 in 100 of the sessions, had none (2.6 to 3.5 times), so the slow version looked the faster one (21 of 96 slow against 127 of 550).

Change: only answers count that met no queue at their endpoint and half of its slots free, and an answer is slow from 2.5 times the usual, 3 before (EndpointPlacementTest). Ruled out: too little evidence, since the counts were pooled as meant.

--- a/decision/src/main/kotlin/dev/almondhaven/decision/traffic/AnswerTimes.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/traffic/AnswerTimes.kt
@@ -8,7 +8,10 @@
  *
  * Load pattern: a new version whose answers are right but slow, so that no request fails. The time of an answer is
  * compared with the time that its work was expected to take; the usual ratio of the two is learned for each kind of
- * work, since expectations are off by a factor that differs between kinds. Not thread-safe.
+ * work, since expectations are off by a factor that differs between kinds.
+ *
+ * Only answers of endpoints without a queue tell anything: the few requests of a canary find none, so that behind
+ * queues at the current version's endpoints a slow canary would look fast. Not thread-safe.
  */
 public class AnswerTimes {
     private class Usual(
@@ -47,7 +50,7 @@
     ): Double = (millis + OVERHEAD_MILLIS) / (expectedMillis + OVERHEAD_MILLIS)
 
     private companion object {
-        const val SLOW_FACTOR = 3.0
+        const val SLOW_FACTOR = 2.5
         const val MIN_ANSWERS = 8
         const val LEARNING_WEIGHT = 0.05
         const val MAX_KINDS = 256
--- a/decision/src/main/kotlin/dev/almondhaven/decision/traffic/EndpointView.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/traffic/EndpointView.kt
@@ -96,6 +96,11 @@
     /** Whether the endpoint is past the time in which it is slow because it has just started. */
     public fun isWarm(now: Long): Boolean = !warmUp.isCold(now) && now - startedBefore >= WARM_UP_NANOS
 
+    /** Whether a request sent at [now] would hardly wait for others. */
+    public fun isUncontended(now: Long): Boolean =
+        prefillBacklogMillis(now) < SHORT_BACKLOG_MILLIS && waiting(now) == 0 &&
+            requests(now) * UNCONTENDED_SLOTS_DIVISOR <= listing.slots
+
     /** Records a successful response. */
     public fun recordSuccess(now: Long) {
         health.recordSuccess()
@@ -150,6 +155,12 @@
         /** Requests end within a second or two, so an older report no longer describes the endpoint's load. */
         public const val LOAD_REPORT_VALIDITY_NANOS: Long = 1_500_000_000
 
+        /** About the time of one decode step of a busy engine. */
+        private const val SHORT_BACKLOG_MILLIS = 20.0
+
+        /** Decode steps hardly slow down while half of the slots are free. */
+        private const val UNCONTENDED_SLOTS_DIVISOR = 2
+
         /** Engines have read the weights and the common prompt parts by then. */
         private val WARM_UP_NANOS = 4.seconds.inWholeNanoseconds
 
--- a/decision/src/test/kotlin/dev/almondhaven/decision/traffic/EndpointPlacementTest.kt
+++ b/decision/src/test/kotlin/dev/almondhaven/decision/traffic/EndpointPlacementTest.kt
@@ -146,6 +146,24 @@
         }
     }
 
+    @Nested
+    inner class `an engine whose answers tell its speed` {
+        @Test
+        fun `has no queue and free slots`() {
+            val idle = endpoint("idle")
+            val reading = endpoint("reading").apply { recordStart(prefillMillis = 30.0, now = 0) }
+            val announced = endpoint("announced").apply { remotePrefills.add("a", millis = 30.0, now = 0) }
+            val full = endpoint("full").apply { recordLoad(ReportedLoad(running = 5, waiting = 0, slots = 8), 0) }
+            val queueing =
+                endpoint(
+                    "queueing",
+                ).apply { recordLoad(ReportedLoad(running = 1, waiting = 1, slots = 8), 0) }
+
+            expectThat(listOf(idle, reading, announced, full, queueing).map { it.isUncontended(now = 0) })
+                .isEqualTo(listOf(true, false, false, false, false))
+        }
+    }
+
     @Nested
     inner class `a failure domain of 13 engines that is cut off` {
         private val engines =
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Attempt.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Attempt.kt
@@ -72,6 +72,9 @@
     /** Whether the answer began much later than is usual for the current version. */
     private var isSlow = false
 
+    /** Whether the endpoint was idle enough at the start that the time of the answer tells its speed. */
+    private var tellsSpeed = false
+
     /** Milliseconds from the start of the attempt to the first usable response head; null until it arrives. */
     var firstResponseMillis: Double? = null
         private set
@@ -87,6 +90,7 @@
             prefillMillis = endpointState.prefillSpeed.estimateMillis(placementRequest.model, uncachedTokens)
             endpointState.prefixCache.recordPrefill(placementRequest.model, placementRequest.promptParts)
         }
+        tellsSpeed = endpointState.isWarm(now) && endpointState.isUncontended(now)
         endpointState.recordStart(prefillMillis, now)
         context.placement.reachability.recordSent(listing.failureDomain, now)
         call.demand.session?.let { context.rollOuts.runStarted(call.service, it, listing.version) }
@@ -172,8 +176,7 @@
         firstResponseMillis = millis
         lastEventAt = context.clock.nanos()
         val isSuccess = stage == Stage.EVENTS || stage == Stage.WHOLE
-        // An endpoint that has just started is slow, whatever its version.
-        if (!isSuccess || !endpointState.isWarm(lastEventAt)) return
+        if (!isSuccess || !tellsSpeed) return
         val kind = "${call.route.name}/$model"
         isSlow = context.rollOuts.isSlow(call.service, endpointState.listing.version, kind, millis, prefillMillis)
     }
