Call an answer slow from 1.75 times the usual

Without a queue the current version's answers lie within 0.9 to 2.3 times the expected time, so the comparison with its own share of slow answers stays the guard for good versions.

--- a/decision/src/main/kotlin/dev/almondhaven/decision/traffic/AnswerTimes.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/traffic/AnswerTimes.kt
@@ -50,7 +50,7 @@
     ): Double = (millis + OVERHEAD_MILLIS) / (expectedMillis + OVERHEAD_MILLIS)
 
     private companion object {
-        const val SLOW_FACTOR = 2.5
+        const val SLOW_FACTOR = 1.75
         const val MIN_ANSWERS = 8
         const val LEARNING_WEIGHT = 0.05
         const val MAX_KINDS = 256
