--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Attempt.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Attempt.kt
@@ -5,6 +5,7 @@
 import dev.almondhaven.gateway.net.OutboundListener
 import dev.almondhaven.gateway.net.OutboundRequest
 import dev.almondhaven.gateway.state.EndpointHandle
+import dev.almondhaven.gateway.state.TimedWork
 import dev.almondhaven.model.LogEvent
 import dev.almondhaven.platform.ForwardingParameters
 import dev.almondhaven.platform.WireCalls
@@ -69,9 +70,6 @@
     private var lastEventAt = 0L
     private var isSuspect = false
 
-    /** Whether the answer began much later than is usual for the current version. */
-    private var isSlow = false
-
     /** Whether the endpoint was idle enough at the start that the time of the answer tells its speed. */
     private var tellsSpeed = false
 
@@ -177,8 +175,8 @@
         lastEventAt = context.clock.nanos()
         val isSuccess = stage == Stage.EVENTS || stage == Stage.WHOLE
         if (!isSuccess || !tellsSpeed) return
-        val kind = "${call.route.name}/$model"
-        isSlow = context.rollOuts.isSlow(call.service, endpointState.listing.version, kind, millis, prefillMillis)
+        val work = TimedWork(call.route.name, model, prefillMillis)
+        context.rollOuts.recordTime(call.service, endpointState.listing.version, work, millis)
     }
 
     private fun startStream(signals: ResponseMetadata) {
@@ -274,20 +272,20 @@
     }
 
     private fun endFailure() {
-        recordEvidence(bad = true)
+        recordEvidence(failed = true)
         recordFailure()
         report(AttemptOutcome.Failed(ErrorResponse(status, headers, bufferedBody.toByteArray())))
     }
 
     private fun succeed(deliver: () -> Unit) {
         recordSuccess()
-        recordEvidence(bad = isSlow)
+        recordEvidence(failed = false)
         settle()
         deliver()
     }
 
-    private fun recordEvidence(bad: Boolean): Unit =
-        context.rollOuts.recordResponse(call.service, endpointState.listing.version, call.route.name, bad)
+    private fun recordEvidence(failed: Boolean): Unit =
+        context.rollOuts.recordResponse(call.service, endpointState.listing.version, call.route.name, failed)
 
     override fun onFailure(
         sent: Boolean,
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/peer/CanaryAnnouncement.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/peer/CanaryAnnouncement.kt
@@ -9,6 +9,7 @@
  *
  * @property order revision at which the roll-out's order was created.
  * @property router the router whose counts these are.
+ * @property slowness whether failures are answers that were slow.
  * @property rejected whether that router has found the canary bad.
  */
 @Serializable
@@ -22,6 +23,7 @@
     @SerialName("na") val canaryAnswers: Long,
     @SerialName("nf") val canaryFailures: Long,
     @SerialName("x") val rejected: Boolean = false,
+    @SerialName("w") val slowness: Boolean = false,
 ) {
     /** The counts, or null if they are impossible. */
     fun counts(): CanaryCounts? =
@@ -36,7 +38,7 @@
             service: String,
             order: Long,
             router: String,
-            route: String,
+            subject: EvidenceSubject,
             counts: CanaryCounts,
             rejected: Boolean,
         ): CanaryAnnouncement =
@@ -44,12 +46,13 @@
                 service,
                 order,
                 router,
-                route,
+                subject.route,
                 counts.oldAnswers,
                 counts.oldFailures,
                 counts.canaryAnswers,
                 counts.canaryFailures,
                 rejected,
+                subject.slowness,
             )
     }
 }
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/state/RollOutController.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/state/RollOutController.kt
@@ -9,6 +9,7 @@
 import dev.almondhaven.decision.traffic.SessionVersions
 import dev.almondhaven.decision.traffic.VersionConstraint
 import dev.almondhaven.gateway.peer.CanaryAnnouncement
+import dev.almondhaven.gateway.peer.EvidenceSubject
 import dev.almondhaven.gateway.peer.RollOutAnnouncer
 import dev.almondhaven.gateway.peer.SessionAnnouncement
 import dev.almondhaven.model.LogEvent
@@ -48,11 +49,18 @@
         val startedAt: Long,
     ) {
         val schedule = RollOutSchedule(order.within)
-        val evidence = CanaryEvidence()
+        val failures = CanaryEvidence()
+
+        /** Only answers that tell the speed of their endpoint count here. */
+        val slowness = CanaryEvidence()
         var requestedState: RollOutState? = null
 
-        /** The own counts of each route that were last announced. */
-        var announced: Map<String, CanaryCounts> = emptyMap()
+        /** The own counts that were last announced. */
+        var announced: Map<EvidenceSubject, CanaryCounts> = emptyMap()
+
+        fun ownCounts(): Map<EvidenceSubject, CanaryCounts> =
+            failures.ownCounts.mapKeys { EvidenceSubject(it.key, slowness = false) } +
+                slowness.ownCounts.mapKeys { EvidenceSubject(it.key, slowness = true) }
 
         val isDecided: Boolean get() = order.state == RollOutState.DONE || order.state == RollOutState.ROLLED_BACK
     }
@@ -203,36 +211,43 @@
     }
 
     /**
-     * Whether an answer of [version] took much longer than is usual for the service's current version. [kind] names
-     * the kind of work, which was expected to take [expectedMillis].
+     * Records that an answer of [version] to [work] began after [millis] at an endpoint without a queue, as evidence
+     * for or against the speed of the new version.
      */
-    fun isSlow(
+    fun recordTime(
         service: ServiceId,
         version: String,
-        kind: String,
+        work: TimedWork,
         millis: Double,
-        expectedMillis: Double,
-    ): Boolean {
+    ) {
         val times = answerTimes.getOrPut(service, ::AnswerTimes)
-        val slow = times.isSlow(kind, millis, expectedMillis)
-        if (activeRollOuts[service]?.order?.target != version) times.learn(kind, millis, expectedMillis)
-        return slow
+        val slow = times.isSlow(work.kind, millis, work.expectedMillis)
+        val rollOut = activeRollOuts[service]
+        if (rollOut?.order?.target != version) times.learn(work.kind, millis, work.expectedMillis)
+        if (rollOut != null) record(rollOut, rollOut.slowness, work.route, version, slow)
     }
 
-    /**
-     * Records a response of an endpoint of [version] to a request of [route] as evidence for or against the new
-     * version; [bad] if it failed or was slow.
-     */
+    /** Records a response of an endpoint of [version] to a request of [route] as evidence about the new version. */
     fun recordResponse(
         service: ServiceId,
         version: String,
         route: String,
-        bad: Boolean,
+        failed: Boolean,
     ) {
         val rollOut = activeRollOuts[service] ?: return
+        record(rollOut, rollOut.failures, route, version, failed)
+    }
+
+    private fun record(
+        rollOut: ActiveRollOut,
+        evidence: CanaryEvidence,
+        route: String,
+        version: String,
+        bad: Boolean,
+    ) {
         if (rollOut.isDecided) return
         val isCanary = version == rollOut.order.target
-        rollOut.evidence.record(route, isCanary, bad)
+        evidence.record(route, isCanary, bad)
         if (isCanary && bad) {
             announceCanary(rollOut)
             rejectIfWorse(rollOut)
@@ -241,10 +256,10 @@
 
     /** Announces the routes on which the canary has answered since the last announcement. */
     private fun announceCanary(rollOut: ActiveRollOut) {
-        val counts = rollOut.evidence.ownCounts
+        val counts = rollOut.ownCounts()
         val changed =
-            counts.filter { (route, now) ->
-                now.canaryAnswers != (rollOut.announced[route] ?: CanaryCounts()).canaryAnswers
+            counts.filter { (subject, now) ->
+                now.canaryAnswers != (rollOut.announced[subject] ?: CanaryCounts()).canaryAnswers
             }
         if (changed.isEmpty()) return
         rollOut.announced = counts
@@ -253,22 +268,23 @@
 
     private fun announce(
         rollOut: ActiveRollOut,
-        counts: Map<String, CanaryCounts>,
+        counts: Map<EvidenceSubject, CanaryCounts>,
         rejected: Boolean,
     ) {
         val service = rollOut.order.service.value
         val announcements =
-            counts.map { (route, own) ->
-                CanaryAnnouncement.of(service, rollOut.order.creationRevision, router, route, own, rejected)
+            counts.map { (subject, own) ->
+                CanaryAnnouncement.of(service, rollOut.order.creationRevision, router, subject, own, rejected)
             }
         announcer.announceCanary(service, announcements, rejected)
     }
 
     private fun rejectIfWorse(rollOut: ActiveRollOut) {
         if (rollOut.requestedState == RollOutState.ROLLED_BACK) return
-        if (!rollOut.evidence.isCanaryWorse(routerCount())) return
+        val tests = routerCount() * EVIDENCE_KINDS
+        if (!rollOut.failures.isCanaryWorse(tests) && !rollOut.slowness.isCanaryWorse(tests)) return
         requestState(rollOut, RollOutState.ROLLED_BACK)
-        announce(rollOut, rollOut.evidence.ownCounts, rejected = true)
+        announce(rollOut, rollOut.ownCounts(), rejected = true)
     }
 
     /** Applies what another router announced about a canary; an announcement about another order is ignored. */
@@ -276,7 +292,8 @@
         val rollOut = activeRollOuts[ServiceId(announcement.service)] ?: return
         if (rollOut.order.creationRevision != announcement.order || rollOut.isDecided) return
         val counts = announcement.counts() ?: return
-        rollOut.evidence.recordAnnounced(announcement.router, announcement.route, counts)
+        val evidence = if (announcement.slowness) rollOut.slowness else rollOut.failures
+        evidence.recordAnnounced(announcement.router, announcement.route, counts)
         if (announcement.rejected) stopCanary(rollOut, announcement.router) else rejectIfWorse(rollOut)
     }
 
@@ -289,7 +306,7 @@
         rollOut.requestedState = RollOutState.ROLLED_BACK
         LogEvent.ROLL_OUT_DECIDED.log(logger) {
             "service=${rollOut.order.service} state=${RollOutState.ROLLED_BACK} decider=$decider " +
-                "evidence=${rollOut.evidence}"
+                "evidence=${rollOut.failures} slow: ${rollOut.slowness}"
         }
         loop.schedule(
             { retryWrite(rollOut, RollOutState.ROLLED_BACK) },
@@ -322,7 +339,7 @@
         if (rollOut.requestedState == state || rollOut.requestedState == RollOutState.ROLLED_BACK) return
         rollOut.requestedState = state
         LogEvent.ROLL_OUT_DECIDED.log(logger) {
-            "service=${rollOut.order.service} state=$state evidence=${rollOut.evidence}"
+            "service=${rollOut.order.service} state=$state evidence=${rollOut.failures} slow: ${rollOut.slowness}"
         }
         val delay = if (state == RollOutState.ROLLED_BACK) 0L else random.nextLong(MAX_JITTER_MILLIS)
         loop.schedule({ write(rollOut, state) }, delay, TimeUnit.MILLISECONDS)
@@ -363,6 +380,9 @@
         const val CHECK_INTERVAL_MILLIS = 200L
         const val MAX_JITTER_MILLIS = 400L
 
+        /** Failures and slowness are tested separately. */
+        const val EVIDENCE_KINDS = 2
+
         /** Time that the router which rejected a version has to store its decision. */
         const val PEER_WRITE_MILLIS = 800L
 
--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/state/RollOutControllerTest.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/state/RollOutControllerTest.kt
@@ -172,7 +172,7 @@
             startRollOut()
             val session = trialSession()
             val before = versionFor(session, 1_000)
-            rollOuts.recordResponse(service, "v2", "draft", bad = true)
+            rollOuts.recordResponse(service, "v2", "draft", failed = true)
             (1..4).forEach { rollOuts.applyCanary(failureAt("router-$it")) }
             advance(0)
 
@@ -213,7 +213,7 @@
         fun `is announced with its answers, at most once an interval`() {
             rollOuts.start()
             startRollOut()
-            repeat(5) { rollOuts.recordResponse(service, "v2", "draft", bad = false) }
+            repeat(5) { rollOuts.recordResponse(service, "v2", "draft", failed = false) }
             advance(200)
             advance(200)
 
@@ -230,9 +230,9 @@
                 version: String,
                 millis: Double,
             ) {
-                val slow = rollOuts.isSlow(service, version, "draft/m0", millis, expectedMillis = 50.0)
-                rollOuts.recordResponse(service, version, "draft", slow)
+                rollOuts.recordTime(service, version, TimedWork("draft", "m0", expectedMillis = 50.0), millis)
             }
+            repeat(200) { rollOuts.recordResponse(service, "v2", "draft", failed = false) }
             repeat(40) { record("v1", millis = 60.0 + it % 7) }
             repeat(5) { record("v2", millis = 65.0) }
             val before = versionFor(session, 1_000)
