--- a/decision/src/main/kotlin/dev/almondhaven/decision/traffic/AnswerTimes.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/traffic/AnswerTimes.kt
@@ -4,7 +4,7 @@
 import kotlin.math.ln
 
 /**
- * Tells which answers of a service took several times as long as is usual for its current version.
+ * Tells which answers of a service took much longer than is usual for its current version.
  *
  * Load pattern: a new version whose answers are right but slow, so that no request fails. The time of an answer is
  * compared with the time that its work was expected to take; the usual ratio of the two is learned for each kind of
@@ -50,8 +50,13 @@
     ): Double = (millis + OVERHEAD_MILLIS) / (expectedMillis + OVERHEAD_MILLIS)
 
     private companion object {
+        /** Multiple of the usual ratio; half of the time of a short answer is overhead that doesn't grow with it. */
         const val SLOW_FACTOR = 1.75
+
+        /** Answers of a kind below which the usual ratio is not known well enough. */
         const val MIN_ANSWERS = 8
+
+        /** Weight of the newest answer once enough are known. */
         const val LEARNING_WEIGHT = 0.05
         const val MAX_KINDS = 256
 
--- a/decision/src/main/kotlin/dev/almondhaven/decision/traffic/EndpointView.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/traffic/EndpointView.kt
@@ -42,7 +42,7 @@
     private var latestLoad: ReportedLoad? = null
     private var latestLoadAt = now
     private var inFlightAtLatestLoad = 0
-    private var startedBefore = now
+    private var startSeenAt = now
 
     init {
         extendColdPeriod(listing, now)
@@ -55,7 +55,7 @@
     ) {
         if (newListing.startedAtMillis != listing.startedAtMillis) {
             prefixCache.clear()
-            startedBefore = now
+            startSeenAt = now
         }
         listing = newListing
         extendColdPeriod(newListing, now)
@@ -94,7 +94,7 @@
     }
 
     /** Whether the endpoint is past the time in which it is slow because it has just started. */
-    public fun isWarm(now: Long): Boolean = !warmUp.isCold(now) && now - startedBefore >= WARM_UP_NANOS
+    public fun isWarm(now: Long): Boolean = !warmUp.isCold(now) && now - startSeenAt >= WARM_UP_NANOS
 
     /** Whether a request sent at [now] would hardly wait for others. */
     public fun isUncontended(now: Long): Boolean =
