Log the shared parts of a prompt and the events of an attempt; record the timeline of crashing endpoints

Endpoints crash one after the other; connections to them are refused at once, which rules out resets of the network. The logs could not tell whether the endpoints fail by themselves or whether requests crash them: they named no parts, and events= counts over all attempts of a request.

No behaviour changes.

Ruled out: network resets (connections are refused afterwards); overload alone (the same parts at every crash).

--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Attempt.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Attempt.kt
@@ -68,6 +68,9 @@
     private var status = 0
     private var headers: List<Pair<String, String>> = emptyList()
     private var lastEventAt = 0L
+
+    /** Events that the endpoint has sent, including those that the caller already had. */
+    private var eventCount = 0
     private var isSuspect = false
 
     /** Whether the endpoint was idle enough at the start that the time of the answer tells its speed. */
@@ -220,6 +223,7 @@
     private fun passOn(chunk: ByteArray) {
         val events = splitter.append(chunk)
         if (events.isNotEmpty()) lastEventAt = context.clock.nanos()
+        eventCount += events.size
         events.forEach(exchange::onEvent)
         if (stage == Stage.EVENTS && splitter.isOversized) abandon("an event without end")
     }
@@ -399,7 +403,7 @@
     override fun toString(): String =
         "endpoint=${endpointState.listing.id} version=${endpointState.listing.version} model=$model " +
             "unread=$uncachedTokens readingMillis=${prefillMillis.toInt()} " +
-            "attemptMillis=${firstResponseMillis?.toInt()}"
+            "attemptMillis=${firstResponseMillis?.toInt()} attemptEvents=$eventCount"
 
     private companion object {
         val SUCCESS = 200..299
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Exchange.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Exchange.kt
@@ -148,7 +148,8 @@
         if (isFinished || ended !== attempt) return
         attempt = null
         LogEvent.ATTEMPT_ENDED.log(logger) {
-            "request=${call.id} $ended outcome=${describe(outcome)} sends=$sends events=$eventCount"
+            "request=${call.id} $ended outcome=${describe(outcome)} sends=$sends events=$eventCount " +
+                "parts=${call.demand.sharedParts}"
         }
         when (outcome) {
             is AttemptOutcome.NotExecuted -> retryOrFail(outcome.reason, usesBudget = outcome.reachedEndpoint)
@@ -338,6 +339,7 @@
                 "session=${call.demand.session} outcome=\"$outcome\" $last sends=$sends " +
                 "runs=$executions events=$eventCount confidence=$confidence " +
                 "backlogMillis=$backlogMillis prompt=${call.demand.promptTokens} output=${call.demand.outputTokens} " +
+                "parts=${call.demand.sharedParts} " +
                 "firstMillis=$firstResponseMillis millis=${context.clock.elapsed(
                     call.request.receivedAt,
                 ).inWholeMilliseconds} " +
--- a/model/src/main/kotlin/dev/almondhaven/traffic/RequestMetadata.kt
+++ b/model/src/main/kotlin/dev/almondhaven/traffic/RequestMetadata.kt
@@ -26,6 +26,9 @@
     public val promptParts: List<PromptPart>,
     public val session: String?,
 ) {
+    /** Ids of the prompt's parts that other requests may share: all but the last. */
+    public val sharedParts: List<String> = promptParts.dropLast(1).map { it.id }
+
     public companion object {
         /** Model name with which a caller leaves the choice to the router. */
         public const val ANY_MODEL: String = "*"
