--- a/decision/src/main/kotlin/dev/almondhaven/decision/traffic/EndpointView.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/traffic/EndpointView.kt
@@ -27,6 +27,7 @@
         private set
     public val health: EndpointHealth = EndpointHealth(group, LONGEST_EJECTION)
     public val warmUp: WarmUpRateLimiter = WarmUpRateLimiter(now, warmUpShare)
+    public val rateLimit: StatedRateLimit = StatedRateLimit()
     public val prefixCache: PrefixCacheView = PrefixCacheView(kvCacheTokens)
     public val remotePrefills: RemotePrefills = RemotePrefills()
 
@@ -48,13 +49,14 @@
         extendColdPeriod(listing, now)
     }
 
-    /** Replaces the listing. A new start of the endpoint under the same id clears the view of its prefix cache. */
+    /** Replaces the listing. A new start of the endpoint under the same id clears what the process before held and stated. */
     public fun update(
         newListing: EndpointListing,
         now: Long,
     ) {
         if (newListing.startedAtMillis != listing.startedAtMillis) {
             prefixCache.clear()
+            rateLimit.clear()
             startSeenAt = now
         }
         listing = newListing
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Attempt.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Attempt.kt
@@ -156,6 +156,7 @@
         }
         context.placement.reachability.recordReached(endpointState.listing.failureDomain)
         signals.load?.let { endpointState.recordLoad(it, context.clock.nanos()) }
+        recordRateLimit(signals.requestsPerSecond)
         signals.coldLeft?.let {
             val now = context.clock.nanos()
             endpointState.warmUp.extendTo(now + it.inWholeNanoseconds, now)
@@ -171,6 +172,14 @@
         return HeadAction.TAKE
     }
 
+    private fun recordRateLimit(perSecond: Double?) {
+        val changed = endpointState.rateLimit.record(perSecond, startedAt, context.clock.nanos())
+        if (!changed) return
+        LogEvent.ENDPOINT_LIMIT_CHANGED.log(logger) {
+            "endpoint=${endpointState.listing.id} service=${call.service} perSecond=$perSecond request=${call.id}"
+        }
+    }
+
     private fun stageOf(
         status: Int,
         signals: ResponseMetadata,
--- a/model/src/main/kotlin/dev/almondhaven/model/LogEvent.kt
+++ b/model/src/main/kotlin/dev/almondhaven/model/LogEvent.kt
@@ -73,6 +73,11 @@
     PROMPT_QUARANTINED(4007, Level.WARN, "Prompts that hold all the given parts crash endpoints and are not sent."),
     PROMPT_QUARANTINE_ENDED(4008, Level.INFO, "Prompts with the given parts are sent again."),
     PROMPT_CLEARED(4009, Level.INFO, "The given prompt parts were answered and are no longer suspected."),
+    ENDPOINT_LIMIT_CHANGED(
+        4010,
+        Level.INFO,
+        "An endpoint states another limit of requests per second, or none any more.",
+    ),
 
     CLAIM_WRITE_UNSETTLED(5001, Level.WARN, "A read or write of claims failed; it is retried."),
     CLAIM_OPERATION_DROPPED(5002, Level.WARN, "The queue of claim operations is full; an operation was rejected."),
--- a/model/src/main/kotlin/dev/almondhaven/traffic/ResponseMetadata.kt
+++ b/model/src/main/kotlin/dev/almondhaven/traffic/ResponseMetadata.kt
@@ -9,6 +9,8 @@
  * @property isSigned whether the endpoint signed the response.
  * @property notRun whether the endpoint states that it did not run the request.
  * @property load the endpoint's request counts; null if not reported.
+ * @property requestsPerSecond requests per second that the endpoint takes from all routers together; null if it states no
+ * limit.
  * @property coldLeft remaining warm-up time; null if not reported.
  * @property confidence the model's confidence in its answer, from 0 to 100; null if not reported.
  */
@@ -17,6 +19,7 @@
     public val isSigned: Boolean,
     public val notRun: Boolean,
     public val load: ReportedLoad?,
+    public val requestsPerSecond: Double?,
     public val coldLeft: Duration?,
     public val confidence: Int?,
 )
