Keep the request limits that endpoints state

Class: a limit that holds for all routers together, of which each hears separately; the part of it that existed, turns at cold endpoints, is taken out of WarmUpRateLimiter and shared (RequestTurns; WarmUpShare is RateShare now).

Ruled out: that the routers keep the limit one by one, or learn too late; the requests in 4 s don't change when the limit is stated.

A changed limit is told to all routers.

--- a/decision/src/main/kotlin/dev/almondhaven/decision/traffic/EndpointPlacement.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/traffic/EndpointPlacement.kt
@@ -26,11 +26,33 @@
         request: PlacementRequest,
         now: Long,
     ): EndpointView? {
-        val admitted = candidates.filter { it.warmUp.admits(now) && !it.health.refuses(now) }
+        val admitted =
+            candidates.filter { it.warmUp.admits(now) && it.rateLimit.admits(now) && !it.health.refuses(now) }
         val preferred = preferredEndpoint(candidates, request)
-        return admitted.minByOrNull { costMillis(it, it === preferred, request, now) }
+        val someAreLimited = request.model.isNotEmpty() && candidates.any { it.rateLimit.perSecond != null }
+        return admitted.minByOrNull {
+            val cost = costMillis(it, it === preferred, request, now)
+            if (someAreLimited) cost + turnCostMillis(it, it === preferred, request, now) else cost
+        }
     }
 
+    /**
+     * Beside endpoints that limit their requests but not the work of each, long prompts go to those and short ones to the
+     * others: a long prompt at an endpoint without limit delays the many requests there. Towards the end of a turn any
+     * request may use it.
+     */
+    private fun turnCostMillis(
+        endpoint: EndpointView,
+        isPreferred: Boolean,
+        request: PlacementRequest,
+        now: Long,
+    ): Double =
+        if (endpoint.rateLimit.perSecond == null) {
+            prefillMillis(endpoint, isPreferred, request)
+        } else {
+            endpoint.rateLimit.turnLeft(now) * TURN_MILLIS
+        }
+
     private fun preferredEndpoint(
         candidates: List<EndpointView>,
         request: PlacementRequest,
@@ -65,11 +87,6 @@
         request: PlacementRequest,
         now: Long,
     ): Double {
-        // The last part belongs to the request or its session, so other sessions don't share it.
-        val shared = request.promptParts.dropLast(1)
-        val cached = endpoint.prefixCache.cachedTokens(request.model, request.promptParts)
-        val assumedCached = if (isPreferred) maxOf(cached, shared.sumOf { it.tokens }) else cached
-        val uncached = (request.promptTokens - assumedCached).coerceAtLeast(0)
         val load = endpoint.requests(now).toDouble() / endpoint.listing.slots
         val queueing = endpoint.waiting(now) * QUEUED_REQUEST_MILLIS
         val batchSlowdown =
@@ -78,8 +95,21 @@
             } else {
                 load * FULL_BATCH_MILLIS
             }
-        return endpoint.prefillSpeed.estimateMillis(request.model, uncached) + endpoint.prefillBacklogMillis(now) +
-            queueing + batchSlowdown
+        return prefillMillis(endpoint, isPreferred, request) + endpoint.prefillBacklogMillis(now) + queueing +
+            batchSlowdown
+    }
+
+    private fun prefillMillis(
+        endpoint: EndpointView,
+        isPreferred: Boolean,
+        request: PlacementRequest,
+    ): Double {
+        // The last part belongs to the request or its session, so other sessions don't share it.
+        val shared = request.promptParts.dropLast(1)
+        val cached = endpoint.prefixCache.cachedTokens(request.model, request.promptParts)
+        val assumedCached = if (isPreferred) maxOf(cached, shared.sumOf { it.tokens }) else cached
+        val uncached = (request.promptTokens - assumedCached).coerceAtLeast(0)
+        return endpoint.prefillSpeed.estimateMillis(request.model, uncached)
     }
 
     /** Expected milliseconds to the first token at the best of [candidates]; infinite if there are none. */
@@ -112,6 +142,9 @@
         /** More than any queue; an endpoint in an unreachable domain is chosen only if there is no other. */
         const val UNREACHABLE_DOMAIN_MILLIS = 60_000.0
 
+        /** What a whole turn at an endpoint of limited rate is worth in prefill elsewhere. */
+        const val TURN_MILLIS = 150.0
+
         /** At a plain service whose slots are all taken, a request waits for about one service time. */
         const val FULL_SERVICE_MILLIS = 60.0
 
--- a/decision/src/main/kotlin/dev/almondhaven/decision/traffic/EndpointView.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/traffic/EndpointView.kt
@@ -14,6 +14,7 @@
  * @property listing the endpoint's latest entry in the platform's list.
  * @property prefillSpeed estimate that all endpoints of a service share.
  * @param warmUpShare this router's current part of the rate that the endpoint bears while it is cold.
+ * @param statedShare this router's current part of a rate that the endpoint states.
  */
 public class EndpointView(
     listing: EndpointListing,
@@ -21,13 +22,14 @@
     kvCacheTokens: Long,
     public val prefillSpeed: PrefillSpeed,
     now: Long,
-    warmUpShare: () -> WarmUpShare = { WarmUpShare.UNLIMITED },
+    warmUpShare: () -> RateShare = { RateShare.UNLIMITED },
+    statedShare: (perSecond: Double) -> RateShare = { RateShare(it, it, routers = 1, position = 0) },
 ) {
     public var listing: EndpointListing = listing
         private set
     public val health: EndpointHealth = EndpointHealth(group, LONGEST_EJECTION)
     public val warmUp: WarmUpRateLimiter = WarmUpRateLimiter(now, warmUpShare)
-    public val rateLimit: StatedRateLimit = StatedRateLimit()
+    public val rateLimit: StatedRateLimit = StatedRateLimit(now, statedShare)
     public val prefixCache: PrefixCacheView = PrefixCacheView(kvCacheTokens)
     public val remotePrefills: RemotePrefills = RemotePrefills()
 
@@ -80,6 +82,7 @@
     ) {
         health.tryUse(now)
         warmUp.recordSent(now)
+        rateLimit.recordSent(now)
         inFlight++
         ownPrefillMillis += prefillMillis
     }
--- a/decision/src/main/kotlin/dev/almondhaven/decision/traffic/WarmUpRateLimiter.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/traffic/WarmUpRateLimiter.kt
@@ -8,21 +8,17 @@
  */
 public class WarmUpRateLimiter(
     now: Long,
-    private val share: () -> WarmUpShare,
+    private val share: () -> RateShare,
 ) {
-    private var coldSince = now
     private var coldUntil = now
-    private var lastTurn = NO_TURN
+    private val turns = RequestTurns(now)
 
     /** Extends the cold period, which begins at [now] if the endpoint was warm, to [until] unless it ends later. */
     public fun extendTo(
         until: Long,
         now: Long,
     ) {
-        if (!isCold(now)) {
-            coldSince = now
-            lastTurn = NO_TURN
-        }
+        if (!isCold(now)) turns.restart(now)
         if (until - coldUntil > 0) coldUntil = until
     }
 
@@ -33,26 +29,13 @@
     public fun admits(now: Long): Boolean {
         if (!isCold(now)) return true
         val current = share()
-        if (!current.isLimited) return true
-        val sinceFirstTurn = now - coldSince - current.firstTurn.inWholeNanoseconds
-        if (sinceFirstTurn < 0) return false
-        val sinceTurn = sinceFirstTurn % current.turnInterval.inWholeNanoseconds
-        return sinceTurn < current.turnLength.inWholeNanoseconds && turnAt(now, current) != lastTurn
+        return !current.isLimited || turns.admits(current, now)
     }
 
     /** Records a request sent at [now], which uses up the current turn. */
     public fun recordSent(now: Long) {
         if (!isCold(now)) return
         val current = share()
-        if (current.isLimited) lastTurn = turnAt(now, current)
-    }
-
-    private fun turnAt(
-        now: Long,
-        share: WarmUpShare,
-    ): Long = (now - coldSince - share.firstTurn.inWholeNanoseconds).floorDiv(share.turnInterval.inWholeNanoseconds)
-
-    private companion object {
-        const val NO_TURN = Long.MIN_VALUE
+        if (current.isLimited) turns.recordSent(current, now)
     }
 }
--- a/decision/src/test/kotlin/dev/almondhaven/decision/traffic/EndpointPlacementTest.kt
+++ b/decision/src/test/kotlin/dev/almondhaven/decision/traffic/EndpointPlacementTest.kt
@@ -41,7 +41,14 @@
                 coldLeft = Duration.ZERO,
                 startedAtMillis = 1,
             )
-        return EndpointView(listing, group, kvCacheTokens = 100_000, prefillSpeed, now = 0)
+        return EndpointView(
+            listing,
+            group,
+            kvCacheTokens = 100_000,
+            prefillSpeed,
+            now = 0,
+            statedShare = { RateShare(it, 2 * it + 5, routers = 1, position = 0) },
+        )
     }
 
     private val plainRequest =
@@ -84,6 +91,31 @@
         }
     }
 
+    @Nested
+    inner class `an endpoint that limits its requests` {
+        private val limited = endpoint("limited").apply { rateLimit.recordAnnounced(0.5, now = 0) }
+        private val other = endpoint("other", domain = "there")
+
+        @Test
+        fun `gets no request beyond its limit`() {
+            expectThat(placement.choose(listOf(limited), plainRequest, 0)).isEqualTo(limited)
+            limited.recordStart(0.0, now = 0)
+            limited.recordEnd(now = 0)
+            expectThat(placement.choose(listOf(limited), plainRequest, second)).isEqualTo(null)
+            expectThat(placement.choose(listOf(limited, other), plainRequest, second)).isEqualTo(other)
+            expectThat(placement.choose(listOf(limited, other), plainRequest, 2 * second)).isEqualTo(limited)
+        }
+
+        @Test
+        fun `gets long prompts first, and any prompt at the end of a turn`() {
+            val (short, long) =
+                listOf(200, 60_000).map { PlacementRequest("m", it, listOf(PromptPart("own", it)), affinity = null) }
+            expectThat(placement.choose(listOf(limited, other), long, 0)).isEqualTo(limited)
+            expectThat(placement.choose(listOf(limited, other), short, 0)).isEqualTo(other)
+            expectThat(placement.choose(listOf(limited, other), short, 2 * second - 1)).isEqualTo(limited)
+        }
+    }
+
     @Nested
     inner class `a prompt` {
         private val engines = List(6) { endpoint("engine$it") }
--- a/decision/src/test/kotlin/dev/almondhaven/decision/traffic/WarmUpRateLimiterTest.kt
+++ b/decision/src/test/kotlin/dev/almondhaven/decision/traffic/WarmUpRateLimiterTest.kt
@@ -20,7 +20,7 @@
         routers: Int = 1,
         position: Int = 0,
         burst: Double = perSecond / 2 + 5,
-    ) = WarmUpRateLimiter(0) { WarmUpShare(perSecond, burst, routers, position) }
+    ) = WarmUpRateLimiter(0) { RateShare(perSecond, burst, routers, position) }
 
     private fun fleet(
         routers: Int,
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Attempt.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Attempt.kt
@@ -175,6 +175,7 @@
     private fun recordRateLimit(perSecond: Double?) {
         val changed = endpointState.rateLimit.record(perSecond, startedAt, context.clock.nanos())
         if (!changed) return
+        context.peers.announceLimit(endpointState.listing.id, perSecond)
         LogEvent.ENDPOINT_LIMIT_CHANGED.log(logger) {
             "endpoint=${endpointState.listing.id} service=${call.service} perSecond=$perSecond request=${call.id}"
         }
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/peer/PeerMessage.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/peer/PeerMessage.kt
@@ -9,5 +9,6 @@
     @SerialName("readings") val prefills: List<PrefillAnnouncement> = emptyList(),
     @SerialName("sessions") val sessions: List<SessionAnnouncement> = emptyList(),
     @SerialName("canaries") val canaries: List<CanaryAnnouncement> = emptyList(),
+    @SerialName("limits") val limits: List<LimitAnnouncement> = emptyList(),
     @SerialName("prompts") val prompts: PromptAnnouncement = PromptAnnouncement(),
 )
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/peer/PeerMessenger.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/peer/PeerMessenger.kt
@@ -40,6 +40,7 @@
     private var peers: List<InetSocketAddress> = emptyList()
     private val prefills = ArrayList<PrefillAnnouncement>()
     private val sessions = ArrayList<SessionAnnouncement>()
+    private val limits = ArrayList<LimitAnnouncement>()
 
     /** Called with the session announcements of other routers. */
     var onSession: (SessionAnnouncement) -> Unit = {}
@@ -124,6 +125,16 @@
         sessions += announcement
     }
 
+    /** Announces that [endpoint] states another limit of requests per second; null for none. */
+    fun announceLimit(
+        endpoint: EndpointId,
+        perSecond: Double?,
+    ) {
+        if (peers.isEmpty()) return
+        scheduleFlush()
+        limits += LimitAnnouncement(endpoint.value, perSecond)
+    }
+
     private fun send(announcement: PrefillAnnouncement) {
         if (peers.isEmpty()) return
         scheduleFlush()
@@ -131,7 +142,7 @@
     }
 
     private fun scheduleFlush() {
-        if (prefills.isEmpty() && sessions.isEmpty()) {
+        if (prefills.isEmpty() && sessions.isEmpty() && limits.isEmpty()) {
             loop.schedule(::flush, BATCH_DELAY_MILLIS, TimeUnit.MILLISECONDS)
         }
     }
@@ -139,9 +150,11 @@
     private fun flush() {
         val messages =
             prefills.chunked(MAX_ANNOUNCEMENTS_PER_DATAGRAM) { PeerMessage(prefills = it.toList()) } +
-                sessions.chunked(MAX_ANNOUNCEMENTS_PER_DATAGRAM) { PeerMessage(sessions = it.toList()) }
+                sessions.chunked(MAX_ANNOUNCEMENTS_PER_DATAGRAM) { PeerMessage(sessions = it.toList()) } +
+                limits.chunked(MAX_ANNOUNCEMENTS_PER_DATAGRAM) { PeerMessage(limits = it.toList()) }
         prefills.clear()
         sessions.clear()
+        limits.clear()
         val open = channel ?: return
         messages.map(::encode).forEach { bytes ->
             peers.forEach { open.write(DatagramPacket(Unpooled.wrappedBuffer(bytes), it)) }
@@ -163,6 +176,7 @@
         message.prefills.forEach(::applyPrefill)
         message.sessions.forEach(onSession)
         message.canaries.forEach(onCanary)
+        message.limits.forEach(::applyLimit)
         if (!message.prompts.isEmpty) onPrompts(message.prompts)
     }
 
@@ -175,6 +189,12 @@
         }
     }
 
+    private fun applyLimit(announcement: LimitAnnouncement) {
+        val endpoint = routing.endpoint(EndpointId(announcement.endpoint)) ?: return
+        val isLimit = announcement.perSecond == null || announcement.perSecond >= 0
+        if (isLimit) endpoint.state.rateLimit.recordAnnounced(announcement.perSecond, clock.nanos())
+    }
+
     private inner class Receiver : SimpleChannelInboundHandler<DatagramPacket>() {
         override fun channelRead0(
             context: ChannelHandlerContext,
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/state/RoutingState.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/state/RoutingState.kt
@@ -1,8 +1,8 @@
 package dev.almondhaven.gateway.state
 
 import dev.almondhaven.decision.traffic.EndpointView
+import dev.almondhaven.decision.traffic.RateShare
 import dev.almondhaven.decision.traffic.SlidingRetryBudget
-import dev.almondhaven.decision.traffic.WarmUpShare
 import dev.almondhaven.gateway.net.ConnectionPool
 import dev.almondhaven.model.EndpointId
 import dev.almondhaven.model.LogEvent
@@ -162,22 +162,35 @@
                     serviceEndpoints(listing.service).prefillSpeed,
                     clock.nanos(),
                     { warmUpShare(listing) },
+                    { statedShare(listing, it) },
                 ),
                 pool,
             )
         return endpoint
     }
 
-    /** The turns of the routers begin with another router at each endpoint, so that no router is always the first. */
-    private fun warmUpShare(listing: EndpointListing): WarmUpShare {
+    private fun warmUpShare(listing: EndpointListing): RateShare {
         val perSecond = configuration?.services?.get(listing.service)?.coldRequestsPerSecond ?: 0.0
-        return WarmUpShare(
+        return rateShare(listing, perSecond, burst = (bounds.warmUpOvershoot - 1) * perSecond + bounds.warmUpSlack)
+    }
+
+    private fun statedShare(
+        listing: EndpointListing,
+        perSecond: Double,
+    ): RateShare = rateShare(listing, perSecond, burst = perSecond * STATED_BURST_SECONDS + STATED_BURST)
+
+    /** The turns of the routers begin with another router at each endpoint, so that no router is always the first. */
+    private fun rateShare(
+        listing: EndpointListing,
+        perSecond: Double,
+        burst: Double,
+    ): RateShare =
+        RateShare(
             perSecond = perSecond,
-            burst = (bounds.warmUpOvershoot - 1) * perSecond + bounds.warmUpSlack,
+            burst = burst,
             routers = routerCount,
             position = (routerPosition + listing.id.hashCode()).mod(routerCount),
         )
-    }
 
     private fun close(endpoint: EndpointHandle) {
         endpoint.pool.close()
@@ -226,6 +239,10 @@
          */
         private const val DEFAULT_KV_CACHE_TOKENS = 200_000L
 
+        /** Requests above the rate that an endpoint states which it bears at once: those of so many seconds and so many more. */
+        private const val STATED_BURST_SECONDS = 2.0
+        private const val STATED_BURST = 5.0
+
         /** Share of the retry bounds that is used; the rest is a margin for routers that count differently. */
         private const val USED_BUDGET_SHARE = 0.9
 
