Don't take a stream that ends before its first event for complete

What callers saw: where an endpoint answers with neither a length nor chunks and ends the connection after the head, as one that crashes does, the caller got an empty stream that looked complete.

Cause: the end of such a connection is the end of the response, and only an event that was cut off made it incomplete. A stream without any event is broken off now, and goes on at another endpoint; like one that ends inside an event it counts as a possible crash. A stream that has ended after a whole event is complete as before.

GatewayPathTest: 'without a length is not complete when its connection ends before the first event' failed before (an empty body); two more cases show that streams without a length end and are resumed, which held before. Ruled out: a chunked stream without events, whose end is stated.

--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Attempt.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Attempt.kt
@@ -15,6 +15,7 @@
 import dev.almondhaven.traffic.ResponseMetadata
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.netty.buffer.ByteBuf
+import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaders
 import java.io.ByteArrayOutputStream
 import kotlin.time.Duration
@@ -70,6 +71,9 @@
     private var discardedBytes = 0
     private var status = 0
     private var headers: List<Pair<String, String>> = emptyList()
+
+    /** Whether the end of the connection is the end of the response. */
+    private var isDelimitedByClose = false
     private var lastEventAt = 0L
 
     /** Events that the endpoint has sent, including those that the caller already had. */
@@ -162,6 +166,8 @@
             endpointState.warmUp.extendTo(now + it.inWholeNanoseconds, now)
         }
         this.status = status
+        isDelimitedByClose =
+            !headers.contains(HttpHeaderNames.CONTENT_LENGTH) && !headers.contains(HttpHeaderNames.TRANSFER_ENCODING)
         this.headers = WireCalls.callerResponseHeaders(headers)
         stage = stageOf(status, signals, headers)
         when (stage) {
@@ -273,12 +279,10 @@
     override fun onEnd() {
         when (stage) {
             Stage.EVENTS -> {
-                if (splitter.hasPartialEvent) {
-                    abandon(
-                        "ended in the middle of an event",
-                    )
-                } else {
-                    succeed { exchange.onStreamEnd(this) }
+                when {
+                    splitter.hasPartialEvent -> breakOff("ended in the middle of an event")
+                    isDelimitedByClose && eventCount == 0 -> breakOff("ended before the first event")
+                    else -> succeed { exchange.onStreamEnd(this) }
                 }
             }
 
@@ -300,6 +304,12 @@
         }
     }
 
+    /** Ends a response whose connection ended in good order, but too early. */
+    private fun breakOff(reason: String) {
+        recordFailure()
+        report(AttemptOutcome.Unknown(reason, mayHaveCrashed = recordBroken()))
+    }
+
     private fun endFailure() {
         recordEvidence(failed = true)
         recordFailure()
--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/GatewayPathTest.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/GatewayPathTest.kt
@@ -254,6 +254,45 @@
             expectThat(endpoints.flatMap { it.requestHeads }.map(WireSamples::model)).isEqualTo(listOf("m0", "m1"))
         }
 
+        private fun ScriptedEndpoint.ReceivedRequest.beginWithoutLength(): Unit =
+            write(head("200 OK", WireSamples.answerHeaders(id, confidence = 90)))
+
+        @Test
+        fun `without a length is complete when its connection ends after an event`() {
+            val (fixture, _) =
+                start({
+                    it.beginWithoutLength()
+                    it.write(events(1..3))
+                    it.socket.close()
+                })
+            expectThat(decodeChunks(fixture.call(streamPath, "r-1"))).isEqualTo(events(1..3))
+        }
+
+        @Test
+        fun `without a length is resumed when its connection ends in the middle of an event`() {
+            val script: (ScriptedEndpoint.ReceivedRequest) -> Unit = {
+                it.beginWithoutLength()
+                val isResumed = WireSamples.lastEventId(it.head).isNotEmpty()
+                it.write(if (isResumed) events(3..4) else events(1..2) + "id: 3\nda")
+                it.socket.close()
+            }
+            val (fixture, _) = start(script, script)
+            expectThat(decodeChunks(fixture.call(streamPath, "r-1"))).isEqualTo(events(1..4))
+        }
+
+        @Test
+        fun `without a length is not complete when its connection ends before the first event`() {
+            val broken = CountDownLatch(1)
+            val script: (ScriptedEndpoint.ReceivedRequest) -> Unit = {
+                it.beginWithoutLength()
+                if (broken.count == 0L) it.write(events(1..2))
+                broken.countDown()
+                it.socket.close()
+            }
+            val (fixture, _) = start(script, script)
+            expectThat(decodeChunks(fixture.call(streamPath, "r-1"))).isEqualTo(events(1..2))
+        }
+
         @Test
         fun `is cancelled at the endpoint when the caller disconnects`() {
             val ended = CountDownLatch(1)
