Don't call a request unexecuted whose first answer was discarded

Cause: only attempts that failed or were lost counted as executed when the answer was chosen; the discarded one did not. Now any attempt that may have run excludes 503; the caller gets 502, which promises nothing.

GatewayPathTest: 'of low confidence that no larger model replaces is not reported as not executed' got 503 before.

--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Exchange.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Exchange.kt
@@ -36,13 +36,13 @@
     /** Attempts that were sent, whatever their outcome. */
     private var sends = 0
 
-    /** Attempts that the endpoint may have executed. */
-    private var executions = 0
-
     /**
-     * Whether an attempt failed or was lost after the endpoint may have executed it: the caller must not be told then
-     * that the request was not executed.
+     * Attempts that the endpoint may have executed, also those whose answer was discarded for a larger model's: after one
+     * the caller must not be told that the request was not executed.
      */
+    private var executions = 0
+
+    /** Whether an attempt failed or was lost after the endpoint may have executed it. */
     private var mayHaveExecuted = false
     private var model: String? = null
     private var lastErrorResponse: ErrorResponse? = null
@@ -243,7 +243,7 @@
                 finish("truncated: $reason") { writer.abort() }
             }
 
-            !mayHaveExecuted -> {
+            executions == 0 -> {
                 finish("not executed: $reason") {
                     writer.respond(RouterResponse.notExecuted(call.id, retryAfter, reason))
                 }
@@ -328,7 +328,7 @@
                 finish("truncated at the timeout") { writer.abort() }
             }
 
-            running == null && !mayHaveExecuted -> {
+            running == null && executions == 0 -> {
                 finish("not executed in time") {
                     writer.respond(RouterResponse.notExecuted(call.id, retryAfter(), "no endpoint in time"))
                 }
--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/GatewayPathTest.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/GatewayPathTest.kt
@@ -254,6 +254,19 @@
             expectThat(endpoints.flatMap { it.requestHeads }.map(WireSamples::model)).isEqualTo(listOf("m0", "m1"))
         }
 
+        @Test
+        fun `of low confidence that no larger model replaces is not reported as not executed`() {
+            val (fixture, _) =
+                start({
+                    if (WireSamples.model(it.head) == "m0") {
+                        it.begin(confidence = 10)
+                    } else {
+                        it.respond("", "503 Service Unavailable", listOf(WireSamples.notRun()))
+                    }
+                })
+            expectThat(status(fixture.call(streamPath, "r-1"))).isEqualTo("HTTP/1.1 502 Bad Gateway")
+        }
+
         private fun ScriptedEndpoint.ReceivedRequest.beginWithoutLength(): Unit =
             write(head("200 OK", WireSamples.answerHeaders(id, confidence = 90)))
 
