Avoid an endpoint whose address another process has

Cause: an endpoint that has started again has a new id; until the old entry lapses, three heartbeats later, the routers sent to the old id. The new process answers 421 at once, without a queue, so that the placement preferred it.

Such an endpoint is ejected like one that can't be reached, and probed. It does not hold where the caller names the model, since 421 may mean the model then.

--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Attempt.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Attempt.kt
@@ -12,6 +12,7 @@
 import dev.almondhaven.platform.ForwardingParameters
 import dev.almondhaven.platform.WireCalls
 import dev.almondhaven.traffic.RequestKind
+import dev.almondhaven.traffic.RequestMetadata
 import dev.almondhaven.traffic.ResponseMetadata
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.netty.buffer.ByteBuf
@@ -175,9 +176,23 @@
             Stage.SETTLED -> abandon("a success without its signature")
             else -> recordFirstResponse()
         }
+        if (status == MISDIRECTED && !callerNamesModel) recordReplaced()
         return HeadAction.TAKE
     }
 
+    /** An endpoint also answers [MISDIRECTED] to a model that it doesn't have, which only a caller can name. */
+    private val callerNamesModel: Boolean
+        get() = model == null && call.demand.model != null && call.demand.model != RequestMetadata.ANY_MODEL
+
+    /** Avoids the endpoint: another process has its address, until its entry in the platform's list is removed. */
+    private fun recordReplaced() {
+        if (endpointState.recordUnreachable(context.clock.nanos(), context.random)) {
+            LogEvent.ENDPOINT_EJECTED.log(logger) {
+                "endpoint=${endpointState.listing.id} service=${call.service} replaced"
+            }
+        }
+    }
+
     private fun recordRateLimit(perSecond: Double?) {
         val changed = endpointState.rateLimit.record(perSecond, startedAt, context.clock.nanos())
         if (!changed) return
@@ -467,6 +482,9 @@
         val SUCCESS = 200..299
         const val NANOS_PER_MILLI = 1e6
 
+        /** Status of an endpoint that is not the intended one. */
+        const val MISDIRECTED = 421
+
         /** Limit on a buffered response body, 4 MiB; responses of plain services are a few kilobytes. */
         const val MAX_BUFFERED_BYTES = 4_194_304
 
--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/GatewayPathTest.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/GatewayPathTest.kt
@@ -7,11 +7,13 @@
 import strikt.api.expectThat
 import strikt.assertions.contains
 import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThanOrEqualTo
 import strikt.assertions.startsWith
 import java.io.IOException
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicBoolean
+import java.util.concurrent.atomic.AtomicInteger
 
 /** Sends requests through a complete gateway to endpoints with scripted responses. */
 class GatewayPathTest {
@@ -142,6 +144,20 @@
             expectThat(response.lowercase()).contains("retry-after:")
         }
 
+        @Test
+        fun `is not sent again and again to an endpoint that says it is another one`() {
+            val reached = AtomicInteger()
+            val misdirect: (ScriptedEndpoint.ReceivedRequest) -> Unit = {
+                reached.incrementAndGet()
+                it.respond("", "421 Misdirected Request", listOf("X-Any" to "any"))
+            }
+            val (fixture, _) = start(misdirect, misdirect, { it.respond("booked") })
+            val responses = (1..10).map { fixture.call(nonRetryablePath, "r-$it") }
+
+            expectThat(responses.map(::bodyOf)).isEqualTo(List(10) { "booked" })
+            expectThat(reached.get()).isLessThanOrEqualTo(MAX_MISDIRECTED)
+        }
+
         @Test
         fun `is not reported as not executed for an endpoint's 503 that does not state so`() {
             val (fixture, _) = start({ it.respond("busy", "503 Service Unavailable") })
@@ -451,6 +467,9 @@
     private companion object {
         const val BLOCK_BYTES = 65_536
 
+        /** A first request and a probe for each of two endpoints. */
+        const val MAX_MISDIRECTED = 4
+
         /** 64 MiB, more than the router may hold of all responses together. */
         const val MAX_ENDLESS_BYTES = 67_108_864
     }
