Quarantine only the most guilty suspect of the same crashes

The suspects are judged one after the other now. CrashAttributionTest: 'that met the same crashes as a part that is quarantined ...' gave [deadly], [sound] before.

--- a/decision/src/main/kotlin/dev/almondhaven/decision/traffic/CrashAttribution.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/traffic/CrashAttribution.kt
@@ -164,14 +164,17 @@
             unreported -= crash
             accuse(crash, reports)
         }
-        val guilty = suspects.filter { !it.isQuarantined && blame(it) > it.bound }
-        guilty.forEach { suspect ->
-            suspect.quarantinedUntil = now + QUARANTINE.inWholeNanoseconds
-            explain(suspect.crashes.keys.toList())
-        }
-        return guilty.map { it.parts }
+        return generateSequence { mostGuilty() }
+            .onEach { suspect ->
+                suspect.quarantinedUntil = now + QUARANTINE.inWholeNanoseconds
+                explain(suspect.crashes.keys.toList())
+            }.map { it.parts }
+            .toList()
     }
 
+    private fun mostGuilty(): CrashSuspect? =
+        suspects.filter { !it.isQuarantined && blame(it) > it.bound }.maxByOrNull(::blame)
+
     private fun accuse(
         crash: EndpointCrash,
         reported: ReportedCrash,
--- a/decision/src/test/kotlin/dev/almondhaven/decision/traffic/CrashAttributionTest.kt
+++ b/decision/src/test/kotlin/dev/almondhaven/decision/traffic/CrashAttributionTest.kt
@@ -174,6 +174,17 @@
             expectThat(verdict("r-3", "sound")).isEqualTo(PromptVerdict.Admitted)
         }
 
+        @Test
+        fun `that met the same crashes as a part that is quarantined is not quarantined with it`() {
+            repeat(4) {
+                report("e-$it", "r-1", listOf("deadly"))
+                report("e-$it", "r-2", listOf("sound"), responseStarted = it > 0)
+                advance(300.milliseconds)
+            }
+            expectThat(attribution.judge(now)).isEqualTo(listOf(setOf("deadly")))
+            expectThat(verdict("r-3", "sound")).isEqualTo(PromptVerdict.Admitted)
+        }
+
         @Test
         fun `whose requests were all on their way when several endpoints crashed is not quarantined`() {
             repeat(5) { report("e-$it", "r-$it", listOf("sound")) }
