Store a quarantine again when the entry of an earlier one has ended

The ended entry is deleted first now, and its deletion does not lift the new quarantine. PromptQuarantineControllerTest: 'replaces an entry of the same parts that has ended' (the new entry was not written).

--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/state/PromptQuarantineController.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/state/PromptQuarantineController.kt
@@ -237,7 +237,12 @@
     private fun storeNow(parts: Set<String>) {
         val remaining = attribution.quarantines(parts, clock.nanos())[parts] ?: return
         val quarantine = PromptQuarantine(parts, wallClock() + remaining.inWholeMilliseconds)
-        if (quarantine.name in stored) return
+        val held = stored[quarantine.name]
+        if (held != null && held.untilMillis > wallClock()) return
+        if (held != null) {
+            delete(quarantine.name)
+            return storeLater(parts)
+        }
         store.call(StoreCall.quarantine(quarantine, router), STORE_TIMEOUT) { response ->
             if (response == null) {
                 loop.schedule({ storeNow(parts) }, STORE_RETRY_DELAY.inWholeMilliseconds, TimeUnit.MILLISECONDS)
@@ -284,9 +289,10 @@
         applyQuarantine(quarantine.parts, (quarantine.untilMillis - wallClock()).milliseconds, "stored")
     }
 
-    /** Ends a quarantine whose entry was deleted, which is how an operator lifts it. */
+    /** Ends a quarantine whose entry was deleted before its time, which is how an operator lifts it. */
     private fun end(name: String) {
         val quarantine = stored.remove(name) ?: return
+        if (quarantine.untilMillis <= wallClock()) return
         LogEvent.PROMPT_QUARANTINE_ENDED.log(logger) { "parts=${quarantine.parts} reason=deleted" }
         attribution.lift(quarantine.parts)
     }
--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/state/PromptQuarantineControllerTest.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/state/PromptQuarantineControllerTest.kt
@@ -142,6 +142,17 @@
             expectThat(store.calls).isEmpty()
         }
 
+        @Test
+        fun `replaces an entry of the same parts that has ended`() {
+            list(stored("deadly", WALL_CLOCK - 1_000))
+            crashTwice()
+            advance(2.seconds)
+            expectThat(store.calls.last().path).isEqualTo("/objects/almondhaven-prompt-quarantines/deadly")
+            change(stored("deadly", WALL_CLOCK - 1_000), removed = true)
+            advance(2.seconds)
+            expectThat(store.calls.last().path).isEqualTo("/objects/almondhaven-prompt-quarantines")
+        }
+
         @Test
         fun `of the store binds a router that has just started, and ends when its entry is deleted`() {
             list(stored("deadly", WALL_CLOCK + 60_000))
