Probe an endpoint for a crash only where a prompt may have caused it

GatewayPathTest: 'opens no further connection to a plain service that closed one' counted 3 for two requests before.

--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/state/PromptQuarantineController.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/state/PromptQuarantineController.kt
@@ -81,8 +81,8 @@
         parts: List<String>,
         responseStarted: Boolean,
     ) {
-        probe(endpoint)
         if (parts.size !in 1..MAX_PARTS) return
+        probe(endpoint)
         val listing = endpoint.state.listing
         val report = CrashReport(listing.id, listing.startedAtMillis, request, parts.toSet(), responseStarted)
         unconfirmed[endpoint]?.add(report)
--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/GatewayPathTest.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/GatewayPathTest.kt
@@ -123,6 +123,16 @@
             expectThat(endpoints.requestCount()).isEqualTo(1)
         }
 
+        @Test
+        fun `opens no further connection to a plain service that closed one`() {
+            val (fixture, endpoints) = start({ it.socket.close() })
+            val before = endpoints.single().connectionCount
+            fixture.call(nonRetryablePath, "r-1", headers = WireSamples.callHeaders("r-1", prompt = ""))
+            fixture.call(nonRetryablePath, "r-2", headers = WireSamples.callHeaders("r-2", prompt = ""))
+            TimeUnit.MILLISECONDS.sleep(PROBE_MILLIS)
+            expectThat(endpoints.single().connectionCount - before).isLessThanOrEqualTo(2)
+        }
+
         @Test
         fun `goes to another endpoint if the first one states that it has not executed it`() {
             val reject: (ScriptedEndpoint.ReceivedRequest) -> Unit = {
@@ -467,6 +477,9 @@
     private companion object {
         const val BLOCK_BYTES = 65_536
 
+        /** Longer than an engine is probed after its connection has broken. */
+        const val PROBE_MILLIS = 100L
+
         /** A first request and a probe for each of two endpoints. */
         const val MAX_MISDIRECTED = 4
 
--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/ScriptedEndpoint.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/ScriptedEndpoint.kt
@@ -56,6 +56,8 @@
 
     private val sockets = CopyOnWriteArrayList<Socket>()
 
+    val connectionCount: Int get() = sockets.size
+
     /** Whether the endpoint has crashed: it has closed all connections and listens no more. */
     @Volatile
     var hasCrashed = false
