Let the test endpoint's port close when it crashes

Its log has no ENDPOINT_CRASHED for the second endpoint: both probes, 20 ms apart, found the port open. A thread that is blocked in accept keeps a closed server socket listening until it has woken up, which takes longer on a busy machine. A process that has ended has no such thread, so the test's endpoint was no crash; the bound of two stands.

The endpoint accepts without blocking now.

--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/ScriptedEndpoint.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/ScriptedEndpoint.kt
@@ -2,11 +2,13 @@
 
 import dev.almondhaven.platform.WireSamples
 import java.io.BufferedInputStream
-import java.net.InetAddress
-import java.net.ServerSocket
+import java.io.IOException
+import java.net.InetSocketAddress
 import java.net.Socket
-import java.net.SocketException
+import java.nio.channels.ClosedChannelException
+import java.nio.channels.ServerSocketChannel
 import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.TimeUnit
 import kotlin.concurrent.thread
 
 /** An endpoint whose response to each request is written by a script as raw bytes, well-formed or not. */
@@ -44,8 +46,11 @@
         }
     }
 
-    private val server = ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"))
-    val address: String get() = "127.0.0.1:${server.localPort}"
+    /** Not blocking, since the port would stay open until a blocked thread has woken up after [crash]. */
+    private val server =
+        ServerSocketChannel.open().bind(InetSocketAddress("127.0.0.1", 0)).apply { configureBlocking(false) }
+    private val port = (server.localAddress as InetSocketAddress).port
+    val address: String get() = "127.0.0.1:$port"
 
     /** Heads of the received requests. */
     val requestHeads = CopyOnWriteArrayList<List<String>>()
@@ -72,11 +77,15 @@
     private fun accept() {
         try {
             while (true) {
-                val socket = server.accept()
-                sockets += socket
-                thread(isDaemon = true) { serve(socket) }
+                val socket = server.accept()?.socket()
+                if (socket == null) {
+                    TimeUnit.MILLISECONDS.sleep(ACCEPT_INTERVAL_MILLIS)
+                } else {
+                    sockets += socket
+                    thread(isDaemon = true) { serve(socket) }
+                }
             }
-        } catch (_: SocketException) {
+        } catch (_: ClosedChannelException) {
             // The endpoint was closed.
         }
     }
@@ -97,7 +106,7 @@
                 requestHeads += head
                 script(ReceivedRequest(head, String(input.readNBytes(length)), socket))
             }
-        } catch (_: SocketException) {
+        } catch (_: IOException) {
             // The router or the script has closed the connection.
         }
     }
@@ -113,4 +122,8 @@
     }
 
     override fun close(): Unit = server.close()
+
+    private companion object {
+        const val ACCEPT_INTERVAL_MILLIS = 1L
+    }
 }
