Name the crash attribution in the terms of a circuit breaker

Read as a newcomer would: judge, verdict, trial, accuse and guilty were figures of a court. They are evaluate, admission, probe, attribute and most blamed now, as EndpointHealth says of probes; isMarkedSuspect stood beside another isSuspect and is isSilenceCounted; three constants say their unit, one bare number has a name. No behaviour, bound, check, text or wire name changes.

--- a/decision/src/main/kotlin/dev/almondhaven/decision/traffic/CrashAttribution.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/traffic/CrashAttribution.kt
@@ -13,7 +13,7 @@
  * endpoint. Blaming the endpoint alone loses one after the other.
  *
  * The requests that an endpoint had not begun to answer when it crashed are suspected for the parts that no endpoint
- * has answered yet. The blame for a crash is divided among its suspects. One request of each suspect is tried again;
+ * has answered yet. The blame for a crash is divided among its suspects. One request of each suspect probes an endpoint;
  * others with the same parts wait for its outcome. An answer clears the parts of its prompt. Parts that are to blame
  * for more than one crash are quarantined: a request whose prompt holds all of them is not sent. Not thread-safe.
  *
@@ -22,7 +22,9 @@
 public class CrashAttribution {
     private val answeredParts = AnsweredParts()
     private val suspects = ArrayList<CrashSuspect>()
-    private val explained = LinkedHashSet<EndpointCrash>()
+
+    /** Crashes whose cause is known. */
+    private val attributed = LinkedHashSet<EndpointCrash>()
 
     /** Crashes whose reports may not all have arrived. */
     private val unreported = LinkedHashMap<EndpointCrash, ReportedCrash>()
@@ -32,23 +34,29 @@
 
     /**
      * Whether a request [request] with a prompt of [parts] may be sent at [now]; not while a crash that it met waits for
-     * its other reports. Where a trial has had its time, the request becomes the next one.
+     * its other reports. Where a probe has had its time, the request becomes the next one.
      */
-    public fun verdict(
+    public fun admission(
         request: String,
         parts: Collection<String>,
         now: Long,
-    ): PromptVerdict {
-        if (unreported.values.any { request in it }) return PromptVerdict.OnTrial
-        if (suspects.isEmpty()) return PromptVerdict.Admitted
+    ): PromptAdmission {
+        if (unreported.values.any { request in it }) return PromptAdmission.Deferred
+        if (suspects.isEmpty()) return PromptAdmission.Admitted
         removeExpired(now)
         val matching = suspects.filter { parts.containsAll(it.parts) }
-        if (matching.isEmpty()) return PromptVerdict.Admitted
+        if (matching.isEmpty()) return PromptAdmission.Admitted
         val quarantined = matching.firstOrNull { it.isQuarantined }
         return when {
-            quarantined != null -> PromptVerdict.Quarantined(quarantined.parts, remaining(quarantined, now))
-            matching.all { blame(it) < MIN_BLAME_TO_WAIT || mayTry(it, request, now) } -> admit(request, matching, now)
-            else -> PromptVerdict.OnTrial
+            quarantined != null -> PromptAdmission.Quarantined(quarantined.parts, remaining(quarantined, now))
+
+            matching.all {
+                blame(
+                    it,
+                ) < MIN_BLAME_TO_DEFER || mayProbe(it, request, now)
+            } -> admit(request, matching, now)
+
+            else -> PromptAdmission.Deferred
         }
     }
 
@@ -57,17 +65,17 @@
         now: Long,
     ): Duration = ((suspect.quarantinedUntil ?: now) - now).nanoseconds
 
-    private fun mayTry(
+    private fun mayProbe(
         suspect: CrashSuspect,
         request: String,
         now: Long,
     ): Boolean =
-        (request == suspect.trial && !isPrimeSuspect(suspect)) ||
-            (now - suspect.trialSince).nanoseconds >= LONGEST_TRIAL
+        (request == suspect.probe && !isPrimeSuspect(suspect)) ||
+            (now - suspect.probedSince).nanoseconds >= LONGEST_PROBE
 
     /**
-     * Whether [suspect] is the most likely cause of its last crash, which was not its first: the others that met it are
-     * tried before, since their answers show its blame without one more crash.
+     * Whether [suspect] is the most likely cause of its last crash, which was not its first: the others that met it
+     * probe before, since their answers show its blame without one more crash.
      */
     private fun isPrimeSuspect(suspect: CrashSuspect): Boolean {
         if (suspect.crashes.size == 1) return false
@@ -79,12 +87,12 @@
         request: String,
         matching: List<CrashSuspect>,
         now: Long,
-    ): PromptVerdict {
-        matching.filter { it.trial != request }.forEach {
-            it.trial = request
-            it.trialSince = now
+    ): PromptAdmission {
+        matching.filter { it.probe != request }.forEach {
+            it.probe = request
+            it.probedSince = now
         }
-        return PromptVerdict.Admitted
+        return PromptAdmission.Admitted
     }
 
     private fun removeExpired(now: Long) {
@@ -138,11 +146,11 @@
             if (suspect.isQuarantined && remaining.isNotEmpty()) narrowed += remaining
             if (remaining.isEmpty()) suspects -= suspect else suspect.parts = remaining
         }
-        return AttributionChange(narrowed + judge(now), lifted, cleared)
+        return AttributionChange(narrowed + evaluate(now), lifted, cleared)
     }
 
     /**
-     * Records a crash that this router or another one has seen. [judge] takes it into account when the other reports of
+     * Records a crash that this router or another one has seen. [evaluate] takes it into account when the other reports of
      * the crash should have arrived, after [REPORT_TIME].
      */
     public fun recordCrash(
@@ -151,37 +159,37 @@
     ) {
         val crash = EndpointCrash(report.endpoint, report.startedAtMillis)
         answeredParts.recordCrash(report.parts, crash)
-        if (crash !in explained && unreported.size < MAX_SUSPECTS) {
+        if (crash !in attributed && unreported.size < MAX_UNREPORTED) {
             unreported.getOrPut(crash) { ReportedCrash(now) }.reports += report
         }
     }
 
     /** Takes the reported crashes into account, and returns the sets of parts that are quarantined for them. */
-    public fun judge(now: Long): List<Set<String>> {
+    public fun evaluate(now: Long): List<Set<String>> {
         removeExpired(now)
         val reported = unreported.filterValues { (now - it.since).nanoseconds >= REPORT_TIME }
         reported.forEach { (crash, reports) ->
             unreported -= crash
-            accuse(crash, reports)
+            attribute(crash, reports)
         }
-        return generateSequence { mostGuilty() }
+        return generateSequence { mostBlamed() }
             .onEach { suspect ->
                 suspect.quarantinedUntil = now + QUARANTINE.inWholeNanoseconds
-                explain(suspect.crashes.keys.toList())
+                markAttributed(suspect.crashes.keys.toList())
             }.map { it.parts }
             .toList()
     }
 
-    private fun mostGuilty(): CrashSuspect? =
-        suspects.filter { !it.isQuarantined && blame(it) > it.bound }.maxByOrNull(::blame)
+    private fun mostBlamed(): CrashSuspect? =
+        suspects.filter { !it.isQuarantined && blame(it) > it.maxBlame }.maxByOrNull(::blame)
 
-    private fun accuse(
+    private fun attribute(
         crash: EndpointCrash,
         reported: ReportedCrash,
     ) {
         val reports = reported.reports.groupBy { unprovenParts(it.parts) }.filterKeys { it.isNotEmpty() }
         if (suspects.any { it.isQuarantined && reports.keys.any { parts -> parts.containsAll(it.parts) } }) {
-            return explain(listOf(crash))
+            return markAttributed(listOf(crash))
         }
         val known =
             reports.keys.associateWith { parts ->
@@ -189,11 +197,11 @@
             }
         val absent = suspects.filter { it !in known.values && crash !in it.crashes }
         reports.forEach { (parts, ofParts) ->
-            meet(known[parts] ?: newSuspect(parts, absent), crash, ofParts, reported.since)
+            recordCrashOf(known[parts] ?: newSuspect(parts, absent), crash, ofParts, reported.since)
         }
     }
 
-    private fun meet(
+    private fun recordCrashOf(
         suspect: CrashSuspect,
         crash: EndpointCrash,
         reports: List<CrashReport>,
@@ -206,8 +214,8 @@
         if (before != null || !isSimultaneous) suspect.crashes[crash] = responseStarted || before == true
         if (before != null || isSimultaneous) return
         suspect.lastCrashAt = at
-        suspect.trial = reports.minOf { it.request }
-        suspect.trialSince = at
+        suspect.probe = reports.minOf { it.request }
+        suspect.probedSince = at
     }
 
     /**
@@ -234,7 +242,14 @@
         parts: Set<String>,
     ): CrashSuspect {
         if (!related.isQuarantined) suspects -= related
-        val priorBlame = if (related.isQuarantined && related.crashes.isEmpty()) 1.0 else related.priorBlame
+        val priorBlame =
+            if (related.isQuarantined &&
+                related.crashes.isEmpty()
+            ) {
+                BLAME_OF_QUARANTINED
+            } else {
+                related.priorBlame
+            }
         return CrashSuspect(related.parts intersect parts, isNarrowed = true, priorBlame).also {
             it.crashes.putAll(related.crashes)
             it.lastCrashAt = related.lastCrashAt
@@ -260,9 +275,9 @@
     private fun likelihood(responseStarted: Boolean): Double = if (responseStarted) 1.0 else LIKELIHOOD_BEFORE_RESPONSE
 
     /** Clears the other suspects of crashes whose cause is known. */
-    private fun explain(crashes: List<EndpointCrash>) {
-        explained += crashes
-        while (explained.size > MAX_EXPLAINED) explained.remove(explained.first())
+    private fun markAttributed(crashes: List<EndpointCrash>) {
+        attributed += crashes
+        while (attributed.size > MAX_ATTRIBUTED) attributed.remove(attributed.first())
         suspects.forEach { if (!it.isQuarantined) it.crashes.keys -= crashes.toSet() }
         suspects.removeAll { !it.isQuarantined && it.crashes.isEmpty() }
     }
@@ -284,7 +299,7 @@
         val suspect = existing ?: CrashSuspect(unproven, isNarrowed = false).also(suspects::add)
         if (suspect.isQuarantined) return false
         suspect.quarantinedUntil = now + minOf(remaining, QUARANTINE).inWholeNanoseconds
-        explain(suspect.crashes.keys.toList())
+        markAttributed(suspect.crashes.keys.toList())
         return true
     }
 
@@ -306,10 +321,10 @@
         /** Time after which a quarantined part is tried again. */
         public val QUARANTINE: Duration = 10.minutes
 
-        /** Time that other requests wait for the outcome of a trial; most answers begin within it. */
-        public val LONGEST_TRIAL: Duration = 1_500.milliseconds
+        /** Time that other requests wait for the outcome of a probe; most answers begin within it. */
+        public val LONGEST_PROBE: Duration = 1_500.milliseconds
 
-        /** Time in which all routers report a crash; until then its blame looks larger than it is. */
+        /** Time in which all routers report a crash; until then the blame of each suspect looks larger than it is. */
         public val REPORT_TIME: Duration = 15.milliseconds
 
         /** Time after which a crash without a second one is forgotten. */
@@ -324,9 +339,13 @@
         /** Requests that wait are many, so that one meets a second crash by chance more easily. */
         private const val EVIDENCE_BEFORE_RESPONSE = 0.5
 
-        /** Blame below which requests need not wait for a trial. */
-        private const val MIN_BLAME_TO_WAIT = 0.25
+        /** Crashes that a quarantine counts for where the ones behind it are not known. */
+        private const val BLAME_OF_QUARANTINED = 1.0
+
+        /** Blame below which requests need not wait for a probe. */
+        private const val MIN_BLAME_TO_DEFER = 0.25
         private const val MAX_SUSPECTS = 256
-        private const val MAX_EXPLAINED = 256
+        private const val MAX_UNREPORTED = 256
+        private const val MAX_ATTRIBUTED = 256
     }
 }
--- a/decision/src/main/kotlin/dev/almondhaven/decision/traffic/CrashSuspect.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/traffic/CrashSuspect.kt
@@ -22,10 +22,10 @@
     var lastCrashAt = 0L
 
     /** The request whose outcome others with these parts wait for; null if none may be sent. */
-    var trial: String? = null
+    var probe: String? = null
 
     /** Monotonic time in nanoseconds from which the outcome is awaited. */
-    var trialSince = 0L
+    var probedSince = 0L
 
     /** Monotonic time in nanoseconds; null while it is only suspected. */
     var quarantinedUntil: Long? = null
@@ -35,16 +35,18 @@
     /** Answers to other prompts since the first crash. */
     var answersWithout = 0
 
-    /** Crashes for which this suspect must be to blame before it is quarantined. */
-    val bound: Double
-        get() = if (isNarrowed && answersWithout < ANSWERS_WITHOUT_COMMON_PART) BOUND_FOR_COMMON_PART else BOUND
+    /** Crashes for which this suspect may be to blame without being quarantined. */
+    val maxBlame: Double
+        get() = if (isNarrowed && answersWithout < MIN_ANSWERS_WITHOUT) MAX_BLAME_OF_COMMON_PART else MAX_BLAME
 
     private companion object {
         /** More than one whole crash: a request may meet one by chance, and be on its way to a second endpoint. */
-        const val BOUND = 1.25
-        const val BOUND_FOR_COMMON_PART = 2.25
+        const val MAX_BLAME = 1.25
 
-        /** A part in common use is in one of so many prompts. */
-        const val ANSWERS_WITHOUT_COMMON_PART = 10
+        /** Prompts of different causes may have a common part, which is answered before a third crash. */
+        const val MAX_BLAME_OF_COMMON_PART = 2.25
+
+        /** A part in common use is in one of so many prompts that are answered. */
+        const val MIN_ANSWERS_WITHOUT = 10
     }
 }
--- a/decision/src/main/kotlin/dev/almondhaven/decision/traffic/PromptVerdict.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/traffic/PromptAdmission.kt
@@ -3,12 +3,12 @@
 import kotlin.time.Duration
 
 /** Whether a request may be sent, given what is known of the parts of its prompt. */
-public sealed interface PromptVerdict {
+public sealed interface PromptAdmission {
     /** Nothing is known against the prompt. */
-    public data object Admitted : PromptVerdict
+    public data object Admitted : PromptAdmission
 
-    /** Another request with the same suspected parts is being tried; its outcome will decide. */
-    public data object OnTrial : PromptVerdict
+    /** Wait: another request with the same suspected parts probes them, and its outcome will decide. */
+    public data object Deferred : PromptAdmission
 
     /**
      * The prompt holds all of [parts], which crash endpoints.
@@ -18,5 +18,5 @@
     public data class Quarantined(
         public val parts: Set<String>,
         public val remaining: Duration,
-    ) : PromptVerdict
+    ) : PromptAdmission
 }
--- a/decision/src/test/kotlin/dev/almondhaven/decision/traffic/CrashAttributionSimulation.kt
+++ b/decision/src/test/kotlin/dev/almondhaven/decision/traffic/CrashAttributionSimulation.kt
@@ -123,10 +123,10 @@
     }
 
     private fun dispatch(request: Request) {
-        when (routers[request.router].verdict(request.id, request.parts, now)) {
-            is PromptVerdict.Admitted -> send(request)
-            is PromptVerdict.OnTrial -> after(40.milliseconds) { dispatch(request) }
-            is PromptVerdict.Quarantined -> if (deadlyOf(request) == null) rejectedSound++
+        when (routers[request.router].admission(request.id, request.parts, now)) {
+            is PromptAdmission.Admitted -> send(request)
+            is PromptAdmission.Deferred -> after(40.milliseconds) { dispatch(request) }
+            is PromptAdmission.Quarantined -> if (deadlyOf(request) == null) rejectedSound++
         }
     }
 
@@ -186,18 +186,18 @@
         report: CrashReport,
     ) {
         routers[router].recordCrash(report, now)
-        judgeLater(router)
+        evaluateLater(router)
         announce(router, MESSAGE_LOSS * MESSAGE_LOSS) { other ->
             val proven = report.parts - routers[other].unprovenParts(report.parts)
             announce(other) { applyOwn(it, routers[it].recordRemoteAnswer(proven, now)) }
             routers[other].recordCrash(report, now)
-            judgeLater(other)
+            evaluateLater(other)
         }
     }
 
-    private fun judgeLater(router: Int): Unit =
+    private fun evaluateLater(router: Int): Unit =
         after(CrashAttribution.REPORT_TIME + 1.milliseconds) {
-            applyOwn(router, AttributionChange(quarantined = routers[router].judge(now)))
+            applyOwn(router, AttributionChange(quarantined = routers[router].evaluate(now)))
         }
 
     private fun applyOwn(
--- a/decision/src/test/kotlin/dev/almondhaven/decision/traffic/CrashAttributionTest.kt
+++ b/decision/src/test/kotlin/dev/almondhaven/decision/traffic/CrashAttributionTest.kt
@@ -38,18 +38,18 @@
     ): List<Set<String>> {
         report(endpoint, request, parts)
         advance(CrashAttribution.REPORT_TIME)
-        return attribution.judge(now)
+        return attribution.evaluate(now)
     }
 
     private fun answer(vararg parts: String): AttributionChange = attribution.recordAnswer(parts.toList(), now)
 
-    private fun verdict(
+    private fun admission(
         request: String,
         vararg parts: String,
-    ): PromptVerdict = attribution.verdict(request, parts.toList(), now)
+    ): PromptAdmission = attribution.admission(request, parts.toList(), now)
 
     private fun quarantined(vararg parts: String) =
-        PromptVerdict.Quarantined(parts.toSet(), CrashAttribution.QUARANTINE)
+        PromptAdmission.Quarantined(parts.toSet(), CrashAttribution.QUARANTINE)
 
     @Nested
     inner class `a part that crashes endpoints` {
@@ -61,8 +61,8 @@
             val change = crash("e-2", "r-1", listOf("system", "document", "deadly"))
 
             expectThat(change).isEqualTo(listOf(setOf("deadly")))
-            expectThat(verdict("r-2", "system", "document", "deadly")).isEqualTo(quarantined("deadly"))
-            expectThat(verdict("r-3", "system", "document")).isEqualTo(PromptVerdict.Admitted)
+            expectThat(admission("r-2", "system", "document", "deadly")).isEqualTo(quarantined("deadly"))
+            expectThat(admission("r-3", "system", "document")).isEqualTo(PromptAdmission.Admitted)
         }
 
         @Test
@@ -70,12 +70,12 @@
             crash("e-1", "r-1", listOf("system", "deadly"))
             advance(300.milliseconds)
             crash("e-2", "r-1", listOf("system", "deadly"))
-            expectThat(verdict("r-2", "system")).isEqualTo(PromptVerdict.Admitted)
+            expectThat(admission("r-2", "system")).isEqualTo(PromptAdmission.Admitted)
 
             val change = answer("system")
             expectThat(change)
                 .isEqualTo(AttributionChange(quarantined = listOf(setOf("deadly")), cleared = setOf("system")))
-            expectThat(verdict("r-3", "other", "deadly")).isEqualTo(quarantined("deadly"))
+            expectThat(admission("r-3", "other", "deadly")).isEqualTo(quarantined("deadly"))
         }
 
         @Test
@@ -83,7 +83,7 @@
             crash("e-1", "r-1", listOf("a", "deadly"))
             advance(300.milliseconds)
             crash("e-2", "r-1", listOf("a", "deadly"))
-            expectThat(verdict("r-2", "b", "deadly")).isEqualTo(PromptVerdict.Admitted)
+            expectThat(admission("r-2", "b", "deadly")).isEqualTo(PromptAdmission.Admitted)
             advance(300.milliseconds)
             val change = crash("e-3", "r-2", listOf("b", "deadly"))
 
@@ -109,8 +109,8 @@
                 crash("e-2-$part", "r-1", listOf(part))
                 advance(300.milliseconds)
             }
-            expectThat(verdict("r-2", "second")).isEqualTo(
-                PromptVerdict.Quarantined(setOf("second"), CrashAttribution.QUARANTINE - 300.milliseconds),
+            expectThat(admission("r-2", "second")).isEqualTo(
+                PromptAdmission.Quarantined(setOf("second"), CrashAttribution.QUARANTINE - 300.milliseconds),
             )
         }
 
@@ -120,7 +120,7 @@
             advance(300.milliseconds)
             crash("e-2", "r-1", listOf("deadly"))
             advance(CrashAttribution.QUARANTINE)
-            expectThat(verdict("r-2", "deadly")).isEqualTo(PromptVerdict.Admitted)
+            expectThat(admission("r-2", "deadly")).isEqualTo(PromptAdmission.Admitted)
         }
     }
 
@@ -129,20 +129,20 @@
         @Test
         fun `with the same parts wait for the outcome of the one that is tried again`() {
             report("e-1", "r-1", listOf("deadly"))
-            expectThat(verdict("r-1", "deadly")).isEqualTo(PromptVerdict.OnTrial)
+            expectThat(admission("r-1", "deadly")).isEqualTo(PromptAdmission.Deferred)
             advance(CrashAttribution.REPORT_TIME)
-            attribution.judge(now)
-            expectThat(verdict("r-1", "deadly")).isEqualTo(PromptVerdict.Admitted)
-            expectThat(verdict("r-2", "deadly")).isEqualTo(PromptVerdict.OnTrial)
-            expectThat(verdict("r-3", "sound")).isEqualTo(PromptVerdict.Admitted)
+            attribution.evaluate(now)
+            expectThat(admission("r-1", "deadly")).isEqualTo(PromptAdmission.Admitted)
+            expectThat(admission("r-2", "deadly")).isEqualTo(PromptAdmission.Deferred)
+            expectThat(admission("r-3", "sound")).isEqualTo(PromptAdmission.Admitted)
         }
 
         @Test
         fun `are tried one after the other if the outcome does not come`() {
             crash("e-1", "r-1", listOf("deadly"))
-            advance(CrashAttribution.LONGEST_TRIAL)
-            expectThat(verdict("r-2", "deadly")).isEqualTo(PromptVerdict.Admitted)
-            expectThat(verdict("r-3", "deadly")).isEqualTo(PromptVerdict.OnTrial)
+            advance(CrashAttribution.LONGEST_PROBE)
+            expectThat(admission("r-2", "deadly")).isEqualTo(PromptAdmission.Admitted)
+            expectThat(admission("r-3", "deadly")).isEqualTo(PromptAdmission.Deferred)
         }
 
         @Test
@@ -154,8 +154,8 @@
             advance(300.milliseconds)
             crash("e-3", "r-1", listOf("deadly"))
 
-            expectThat(verdict("r-3", "deadly") is PromptVerdict.Quarantined).isTrue()
-            expectThat(verdict("r-4", "sound")).isEqualTo(PromptVerdict.Admitted)
+            expectThat(admission("r-3", "deadly") is PromptAdmission.Quarantined).isTrue()
+            expectThat(admission("r-4", "sound")).isEqualTo(PromptAdmission.Admitted)
         }
     }
 
@@ -167,11 +167,11 @@
                 report("e-$it", "r-1", listOf("sound"))
                 report("e-$it", "r-2", listOf("deadly"))
                 advance(300.milliseconds)
-                expectThat(attribution.judge(now)).isEqualTo(emptyList())
+                expectThat(attribution.evaluate(now)).isEqualTo(emptyList())
             }
-            expectThat(verdict("r-3", "sound")).isEqualTo(PromptVerdict.OnTrial)
+            expectThat(admission("r-3", "sound")).isEqualTo(PromptAdmission.Deferred)
             expectThat(answer("sound").quarantined).isEqualTo(listOf(setOf("deadly")))
-            expectThat(verdict("r-3", "sound")).isEqualTo(PromptVerdict.Admitted)
+            expectThat(admission("r-3", "sound")).isEqualTo(PromptAdmission.Admitted)
         }
 
         @Test
@@ -181,16 +181,16 @@
                 report("e-$it", "r-2", listOf("sound"), responseStarted = it > 0)
                 advance(300.milliseconds)
             }
-            expectThat(attribution.judge(now)).isEqualTo(listOf(setOf("deadly")))
-            expectThat(verdict("r-3", "sound")).isEqualTo(PromptVerdict.Admitted)
+            expectThat(attribution.evaluate(now)).isEqualTo(listOf(setOf("deadly")))
+            expectThat(admission("r-3", "sound")).isEqualTo(PromptAdmission.Admitted)
         }
 
         @Test
         fun `whose requests were all on their way when several endpoints crashed is not quarantined`() {
             repeat(5) { report("e-$it", "r-$it", listOf("sound")) }
             advance(CrashAttribution.REPORT_TIME)
-            expectThat(attribution.judge(now)).isEqualTo(emptyList())
-            expectThat(verdict("r-0", "sound")).isEqualTo(PromptVerdict.Admitted)
+            expectThat(attribution.evaluate(now)).isEqualTo(emptyList())
+            expectThat(admission("r-0", "sound")).isEqualTo(PromptAdmission.Admitted)
         }
 
         @Test
@@ -207,7 +207,7 @@
             advance(300.milliseconds)
             crash("e-2", "r-1", listOf("sound"))
             expectThat(answer("sound").lifted).isEqualTo(listOf(setOf("sound")))
-            expectThat(verdict("r-2", "sound")).isEqualTo(PromptVerdict.Admitted)
+            expectThat(admission("r-2", "sound")).isEqualTo(PromptAdmission.Admitted)
         }
     }
 
@@ -220,7 +220,7 @@
 
             attribution.applyQuarantine(setOf("b"), 1.minutes, now)
             attribution.recordRemoteAnswer(listOf("b"), now)
-            expectThat(verdict("r-2", "b")).isEqualTo(PromptVerdict.Quarantined(setOf("b"), 1.minutes))
+            expectThat(admission("r-2", "b")).isEqualTo(PromptAdmission.Quarantined(setOf("b"), 1.minutes))
         }
 
         @Test
@@ -229,14 +229,14 @@
             expectThat(attribution.applyQuarantine(setOf("a"), 1.minutes, now)).isTrue()
             expectThat(attribution.applyQuarantine(setOf("a"), 1.minutes, now)).isFalse()
             expectThat(attribution.applyQuarantine(setOf("answered"), 1.minutes, now)).isFalse()
-            expectThat(verdict("r-1", "a")).isEqualTo(PromptVerdict.Quarantined(setOf("a"), 1.minutes))
+            expectThat(admission("r-1", "a")).isEqualTo(PromptAdmission.Quarantined(setOf("a"), 1.minutes))
         }
 
         @Test
         fun `lifts a quarantine`() {
             attribution.applyQuarantine(setOf("a"), 1.minutes, now)
             attribution.lift(setOf("a"))
-            expectThat(verdict("r-1", "a")).isEqualTo(PromptVerdict.Admitted)
+            expectThat(admission("r-1", "a")).isEqualTo(PromptAdmission.Admitted)
         }
     }
 }
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Attempt.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Attempt.kt
@@ -1,6 +1,6 @@
 package dev.almondhaven.gateway.call
 
-import dev.almondhaven.decision.traffic.PromptVerdict
+import dev.almondhaven.decision.traffic.PromptAdmission
 import dev.almondhaven.gateway.net.HeadAction
 import dev.almondhaven.gateway.net.OutboundCall
 import dev.almondhaven.gateway.net.OutboundListener
@@ -66,6 +66,8 @@
     private var prefillMillis = 0.0
     private var uncachedTokens = 0
     private var prefillEnded = false
+
+    /** Whether the request may have crashed an endpoint before. */
     private val isSuspect = exchange.isSuspect
     private val splitter = EventSplitter()
     private val bufferedBody = ByteArrayOutputStream()
@@ -79,7 +81,9 @@
 
     /** Events that the endpoint has sent, including those that the caller already had. */
     private var eventCount = 0
-    private var isMarkedSuspect = false
+
+    /** Whether the silence of the endpoint has been counted as a failure. */
+    private var isSilenceCounted = false
 
     /** Whether the endpoint was idle enough at the start that the time of the answer tells its speed. */
     private var tellsSpeed = false
@@ -418,14 +422,14 @@
     /** Cancels the request if its prompt is quarantined and its answer has not begun: it would crash the endpoint. */
     fun endIfQuarantined() {
         if (stage == Stage.SETTLED || eventCount > 0) return
-        val verdict = context.promptQuarantine.verdict(call.id, call.demand.sharedParts)
-        if (verdict !is PromptVerdict.Quarantined) return
+        val admission = context.promptQuarantine.admission(call.id, call.demand.sharedParts)
+        if (admission !is PromptAdmission.Quarantined) return
         recordCancelled()
         outbound?.cancel()
-        report(AttemptOutcome.Quarantined(verdict.parts))
+        report(AttemptOutcome.Quarantined(admission.parts))
     }
 
-    /** Fails the attempt, or marks the endpoint as suspect, if the response has stalled. */
+    /** Fails the attempt, or counts a failure of the endpoint, if the response has stalled. */
     fun checkStalled() {
         val now = context.clock.nanos()
         if (stage == Stage.STATED_NOT_RUN) {
@@ -437,10 +441,10 @@
         val limit = if (firstResponseMillis == null) firstResponseTimeout() else eventGapTimeout(now)
         val endpointSilence = (now - maxOf(endpoint.lastReceivedAt, startedAt)).nanoseconds
         if (silence < limit) return
-        if (!call.route.isRetryable) return markSuspect()
+        if (!call.route.isRetryable) return countSilence()
         val endpointAlive = call.route.kind == RequestKind.STREAMING && endpointSilence < ENDPOINT_ALIVE_WINDOW
         if (endpointAlive && silence < MAX_EVENT_GAP) return
-        if (!exchange.canRetry()) return markSuspect()
+        if (!exchange.canRetry()) return countSilence()
         abandon("silent for $silence")
     }
 
@@ -459,9 +463,9 @@
      * Counts a failure against the endpoint, so that other requests avoid it, and keeps waiting: this request can't be
      * retried.
      */
-    private fun markSuspect() {
-        if (isMarkedSuspect) return
-        isMarkedSuspect = true
+    private fun countSilence() {
+        if (isSilenceCounted) return
+        isSilenceCounted = true
         recordFailure()
     }
 
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Exchange.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Exchange.kt
@@ -1,7 +1,7 @@
 package dev.almondhaven.gateway.call
 
 import dev.almondhaven.decision.traffic.EscalationConditions
-import dev.almondhaven.decision.traffic.PromptVerdict
+import dev.almondhaven.decision.traffic.PromptAdmission
 import dev.almondhaven.decision.traffic.VersionConstraint
 import dev.almondhaven.gateway.net.InFlightRequest
 import dev.almondhaven.gateway.net.ResponseWriter
@@ -79,10 +79,21 @@
     private fun dispatch() {
         placementRetry = null
         if (isFinished) return
-        when (val verdict = context.promptQuarantine.verdict(call.id, call.demand.sharedParts)) {
-            is PromptVerdict.Admitted -> send()
-            is PromptVerdict.OnTrial -> dispatchAfter(PLACEMENT_RETRY_MILLIS)
-            is PromptVerdict.Quarantined -> fail("prompt parts ${verdict.parts} crash endpoints", verdict.remaining)
+        when (val admission = context.promptQuarantine.admission(call.id, call.demand.sharedParts)) {
+            is PromptAdmission.Admitted -> {
+                send()
+            }
+
+            is PromptAdmission.Deferred -> {
+                dispatchAfter(PLACEMENT_RETRY_MILLIS)
+            }
+
+            is PromptAdmission.Quarantined -> {
+                fail(
+                    "prompt parts ${admission.parts} crash endpoints",
+                    admission.remaining,
+                )
+            }
         }
     }
 
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/state/PromptQuarantineController.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/state/PromptQuarantineController.kt
@@ -3,7 +3,7 @@
 import dev.almondhaven.decision.traffic.AttributionChange
 import dev.almondhaven.decision.traffic.CrashAttribution
 import dev.almondhaven.decision.traffic.CrashReport
-import dev.almondhaven.decision.traffic.PromptVerdict
+import dev.almondhaven.decision.traffic.PromptAdmission
 import dev.almondhaven.gateway.net.ProbeResult
 import dev.almondhaven.gateway.peer.CrashAnnouncement
 import dev.almondhaven.gateway.peer.PromptAnnouncement
@@ -54,12 +54,12 @@
     var onQuarantine: () -> Unit = {}
 
     /** Whether the request [request] with a prompt of [parts] may be sent now. */
-    fun verdict(
+    fun admission(
         request: String,
         parts: List<String>,
-    ): PromptVerdict {
+    ): PromptAdmission {
         val isProbed = unconfirmed.values.any { reports -> reports.any { it.request == request } }
-        return if (isProbed) PromptVerdict.OnTrial else attribution.verdict(request, parts, clock.nanos())
+        return if (isProbed) PromptAdmission.Deferred else attribution.admission(request, parts, clock.nanos())
     }
 
     /** Whether a prompt of [parts] could be what crashed an endpoint. */
@@ -148,13 +148,13 @@
         // A router that misses a report blames the others that met the crash.
         loop.schedule({ announcer.announcePrompts(announcement) }, REPEAT_MILLIS, TimeUnit.MILLISECONDS)
         reports.forEach { attribution.recordCrash(it, clock.nanos()) }
-        judgeLater(::applyOwn)
+        evaluateLater(::applyOwn)
     }
 
-    private fun judgeLater(applyChange: (AttributionChange) -> Unit) {
+    private fun evaluateLater(applyChange: (AttributionChange) -> Unit) {
         val delay = CrashAttribution.REPORT_TIME.inWholeMilliseconds + 1
         loop.schedule(
-            { applyChange(AttributionChange(quarantined = attribution.judge(clock.nanos()))) },
+            { applyChange(AttributionChange(quarantined = attribution.evaluate(clock.nanos()))) },
             delay,
             TimeUnit.MILLISECONDS,
         )
@@ -171,7 +171,7 @@
             val endpoint = endpointOf(EndpointId(crash.endpoint)) ?: return@forEach
             report(endpoint, cancelledReports(endpoint, crash.startedAtMillis))
         }
-        if (announcement.crashes.isNotEmpty()) judgeLater(::applyRemote)
+        if (announcement.crashes.isNotEmpty()) evaluateLater(::applyRemote)
         if (announcement.answeredParts.isNotEmpty()) {
             applyRemote(attribution.recordRemoteAnswer(announcement.answeredParts, now))
         }
@@ -301,12 +301,13 @@
         /** Prompts have a few parts; more of them would not fit into a datagram. */
         const val MAX_PARTS = 64
 
+        /** Pause before the second probe. */
         const val SECOND_PROBE_MILLIS = 20L
 
         /** An engine drops a cancelled request between two steps. */
         val CANCELLED_WORK = 250.milliseconds
 
-        /** Short enough that the repeated report arrives before the crash is judged. */
+        /** Short enough that the repeated report arrives before the crash is evaluated. */
         const val REPEAT_MILLIS = 4L
 
         /** So many routers reply to an announced crash, which bounds the messages in a large fleet. */
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/state/RoutingState.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/state/RoutingState.kt
@@ -177,7 +177,7 @@
     private fun statedShare(
         listing: EndpointListing,
         perSecond: Double,
-    ): RateShare = rateShare(listing, perSecond, burst = perSecond * STATED_BURST_SECONDS + STATED_BURST)
+    ): RateShare = rateShare(listing, perSecond, burst = perSecond * STATED_BURST_SECONDS + STATED_BURST_REQUESTS)
 
     /** The turns of the routers begin with another router at each endpoint, so that no router is always the first. */
     private fun rateShare(
@@ -241,7 +241,7 @@
 
         /** Requests above the rate that an endpoint states which it bears at once: those of so many seconds and so many more. */
         private const val STATED_BURST_SECONDS = 2.0
-        private const val STATED_BURST = 5.0
+        private const val STATED_BURST_REQUESTS = 5.0
 
         /** Share of the retry bounds that is used; the rest is a margin for routers that count differently. */
         private const val USED_BUDGET_SHARE = 0.9
--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/state/PromptQuarantineControllerTest.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/state/PromptQuarantineControllerTest.kt
@@ -3,7 +3,7 @@
 import dev.almondhaven.decision.endpoint.EjectionGroup
 import dev.almondhaven.decision.traffic.EndpointView
 import dev.almondhaven.decision.traffic.PrefillSpeed
-import dev.almondhaven.decision.traffic.PromptVerdict
+import dev.almondhaven.decision.traffic.PromptAdmission
 import dev.almondhaven.gateway.net.ConnectionPool
 import dev.almondhaven.gateway.peer.CrashAnnouncement
 import dev.almondhaven.gateway.peer.PromptAnnouncement
@@ -81,7 +81,7 @@
             PromptAnnouncement(crashes = listOf(CrashAnnouncement(endpoint, 1, request, parts.toList(), true))),
         )
 
-    private fun verdict(vararg parts: String) = controller.verdict("r-9", parts.toList())
+    private fun admission(vararg parts: String) = controller.admission("r-9", parts.toList())
 
     private fun stored(
         name: String,
@@ -111,7 +111,7 @@
         @Test
         fun `follows from the crashes that other routers announce`() {
             crashTwice()
-            expectThat(verdict("deadly")).isEqualTo(PromptVerdict.Quarantined(setOf("deadly"), 10.minutes))
+            expectThat(admission("deadly")).isEqualTo(PromptAdmission.Quarantined(setOf("deadly"), 10.minutes))
         }
 
         @Test
@@ -156,16 +156,16 @@
         @Test
         fun `of the store binds a router that has just started, and ends when its entry is deleted`() {
             list(stored("deadly", WALL_CLOCK + 60_000))
-            expectThat(verdict("other", "deadly")).isEqualTo(PromptVerdict.Quarantined(setOf("deadly"), 1.minutes))
+            expectThat(admission("other", "deadly")).isEqualTo(PromptAdmission.Quarantined(setOf("deadly"), 1.minutes))
 
             change(stored("deadly", WALL_CLOCK + 60_000), removed = true)
-            expectThat(verdict("deadly")).isEqualTo(PromptVerdict.Admitted)
+            expectThat(admission("deadly")).isEqualTo(PromptAdmission.Admitted)
         }
 
         @Test
         fun `that ended long ago is deleted by a router that lists it`() {
             list(stored("deadly", WALL_CLOCK - 120_000))
-            expectThat(verdict("deadly")).isEqualTo(PromptVerdict.Admitted)
+            expectThat(admission("deadly")).isEqualTo(PromptAdmission.Admitted)
             expectThat(store.calls.map { it.path }).isEqualTo(listOf("/objects/almondhaven-prompt-quarantines/deadly"))
         }
 
@@ -222,7 +222,7 @@
             controller.applyAnnouncement(
                 PromptAnnouncement(quarantines = listOf(QuarantineAnnouncement(parts, 60_000))),
             )
-            expectThat(controller.verdict("r-9", parts)).isEqualTo(PromptVerdict.Admitted)
+            expectThat(controller.admission("r-9", parts)).isEqualTo(PromptAdmission.Admitted)
         }
     }
 
--- a/model/src/main/kotlin/dev/almondhaven/traffic/PromptQuarantine.kt
+++ b/model/src/main/kotlin/dev/almondhaven/traffic/PromptQuarantine.kt
@@ -14,9 +14,9 @@
     }
 
     /** Name that is the same for the same parts in any order. */
-    public val name: String get() = parts.sorted().joinToString(".").take(LONGEST_NAME)
+    public val name: String get() = parts.sorted().joinToString(".").take(MAX_NAME_CHARACTERS)
 
     private companion object {
-        const val LONGEST_NAME = 200
+        const val MAX_NAME_CHARACTERS = 200
     }
 }
