--- a/review/standins/Http.java
+++ b/review/standins/Http.java
@@ -3,11 +3,15 @@
 import java.io.EOFException;
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.BindException;
+import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 
 /** The part of HTTP/1.1 that the stand-ins speak. */
@@ -163,9 +167,18 @@
         return thread;
     }
 
-    static int freePort() throws IOException {
-        try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return probe.getLocalPort();
+    private static final Set<Integer> GIVEN_PORTS = new HashSet<>();
+
+    /** A port that is free for TCP and UDP, another one each time. */
+    static synchronized int freePort() throws IOException {
+        InetAddress address = InetAddress.getByName("127.0.0.1");
+        while (true) {
+            try (ServerSocket probe = new ServerSocket(0, 1, address);
+                DatagramSocket datagrams = new DatagramSocket(probe.getLocalPort(), address)) {
+                if (GIVEN_PORTS.add(datagrams.getLocalPort())) return datagrams.getLocalPort();
+            } catch (BindException taken) {
+                // The port is taken for UDP; the next one may be free.
+            }
         }
     }
 }
--- a/review/standins/Replica.java
+++ b/review/standins/Replica.java
@@ -2,6 +2,7 @@
 import java.net.ServerSocket;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -17,6 +18,7 @@
     private final Record record;
     private final ServerSocket server;
     private final Semaphore free;
+    private final Set<Http.Connection> connections = ConcurrentHashMap.newKeySet();
     private final AtomicInteger places = new AtomicInteger();
 
     /** How often each client attempt has run at any replica of the test. */
@@ -74,7 +76,14 @@
         }
     }
 
+    /** Ends the replica, with all connections and the requests on them. */
+    void exit() throws IOException {
+        server.close();
+        connections.forEach(Http.Connection::close);
+    }
+
     private void serve(Http.Connection connection) throws IOException, InterruptedException {
+        connections.add(connection);
         Random random = new Random();
         Requests requests = new Requests(connection);
         String copy = null;
--- a/review/standins/Store.java
+++ b/review/standins/Store.java
@@ -17,6 +17,9 @@
     private final ServerSocket server;
     private long revision = 1;
 
+    /** Watches that were sent before are cut off, as an answer shows that is null. */
+    private long cuts;
+
     /** While it is silent, what is sent to the store is read and never answered. */
     private volatile boolean isSilent;
 
@@ -40,6 +43,12 @@
         isSilent = false;
     }
 
+    /** Cuts off all watches that are waiting: their connections end without an answer. */
+    synchronized void cutWatches() {
+        cuts++;
+        notifyAll();
+    }
+
     private void serve(Http.Connection connection) throws IOException, InterruptedException {
         for (Http.Message request = connection.read(); request != null; request = connection.read()) {
             if (request.target().startsWith("/objects/config?watch")) lastConfigurationWatchAt = System.nanoTime();
@@ -48,6 +57,7 @@
                 return;
             }
             String[] answer = answer(request);
+            if (answer == null) return;
             Thread.sleep(answerMillis);
             connection.write("HTTP/1.1 " + answer[0] + " X\r\nContent-Type: application/json\r\nContent-Length: "
                 + answer[1].getBytes().length + "\r\n\r\n" + answer[1]);
@@ -89,6 +99,7 @@
 
     private synchronized String[] watch(String kind, long since, long waitMillis) throws InterruptedException {
         long end = System.currentTimeMillis() + waitMillis;
+        long cutsBefore = cuts;
         while (true) {
             List<Object> found = new ArrayList<>();
             for (Event event : events) {
@@ -101,6 +112,7 @@
                 return new String[] {"200", Json.write(Json.object("events", found, "currentRev", revision))};
             }
             wait(left);
+            if (cuts != cutsBefore) return null;
         }
     }
 
