--- a/review/standins/LateRefusal.java
+++ b/review/standins/LateRefusal.java
@@ -14,7 +14,7 @@
  */
 final class LateRefusal {
     private static final int USERS = 40;
-    private static final int SECONDS = 60;
+    private static final int SECONDS = 85;
 
     public static void main(String[] arguments) throws Exception {
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
