Review scripts: record what is sent, exit with 2 for whatever is no verdict, leave no files behind

Before, a program that could not start exited with 1 as a broken rule does. The scenarios are the same.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,4 +3,17 @@
 here="$(cd "$(dirname "$0")" && pwd)"
 cd "$here/../.." || exit 2
 [ -f target/review/SilentStore.class ] || bash review/build.sh || exit 2
-exec java -Xmx512m -cp target/review SilentStore "$here/record.txt"
+folder="$(mktemp -d)" || exit 2
+java -Xmx512m "-Djava.io.tmpdir=$folder" -cp target/review SilentStore "$here/record.txt" &
+pid=$!
+trap 'kill $pid 2>/dev/null' INT TERM
+wait $pid
+result=$?
+# A signal ends the first wait early; the second one is for the end of the program.
+wait $pid 2>/dev/null
+rm -rf "$folder"
+case $result in
+  0) exit 0 ;;
+  10) exit 1 ;;
+  *) exit 2 ;;
+esac
--- a/review/standins/AddedStream.java
+++ b/review/standins/AddedStream.java
@@ -52,7 +52,7 @@
                 List<String> twice = runs.entrySet().stream()
                     .filter(run -> run.getKey().startsWith("draft") && run.getValue().get() > 1).map(Map.Entry::getKey).toList();
                 record.say("answered %d; TWICE: %d streams that may not be resumed ran more than once", answered.get(), twice.size());
-                exit = answered.get() < 20 ? 2 : twice.isEmpty() ? 0 : 1;
+                exit = answered.get() < 20 ? 2 : twice.isEmpty() ? 0 : Record.BROKEN;
             }
         } catch (IOException | RuntimeException failure) {
             failure.printStackTrace();
@@ -67,6 +67,7 @@
                 Map<String, String> headers = new LinkedHashMap<>(Map.of("X-Almondhaven-Attempt-Id", attempt,
                     "X-Almondhaven-Deadline-Ms", "20000", "X-Almondhaven-Model", "*", "X-Almondhaven-Token-Usage", "628,290",
                     "X-Almondhaven-Prompt-Prefix", "5c1e07a2:119,91bd3f06:79,e4402b7d:430", "Api-Key", "key-of-tenant-1"));
+                record.line("client sends %s", attempt);
                 Http.Message answer = client.call("POST", path, headers, "{}".getBytes(), 21_000);
                 record.line("client gets %d for %s, whole: %s", answer.status(), attempt, answer.isWhole);
                 if (answer.status() == 200 && answer.isWhole) answered.incrementAndGet();
--- a/review/standins/CutWatches.java
+++ b/review/standins/CutWatches.java
@@ -46,7 +46,7 @@
                 for (Thread user : users) user.join();
                 record.say("answers by status: %s; DRAIN: %d bookings reached a replica later than 2000 ms after it was gone "
                     + "from the store", answers, late);
-                exit = runs.size() < 500 ? 2 : late == 0 ? 0 : 1;
+                exit = runs.size() < 500 ? 2 : late == 0 ? 0 : Record.BROKEN;
             }
         } catch (IOException | RuntimeException failure) {
             failure.printStackTrace();
@@ -82,6 +82,7 @@
                 Map.of("X-Almondhaven-Attempt-Id", attempt, "X-Almondhaven-Deadline-Ms", "1000", "Api-Key", "key-of-tenant-1"));
             try {
                 if (client == null) client = new Client(port);
+                record.line("client sends %s", attempt);
                 Http.Message answer = client.call("POST", "/book/meadow", headers, "{\"crews\":1}".getBytes(), 2_500);
                 record.line("client gets %d for %s", answer.status(), attempt);
                 answers.computeIfAbsent(answer.status(), none -> new AtomicInteger()).incrementAndGet();
--- a/review/standins/LateRefusal.java
+++ b/review/standins/LateRefusal.java
@@ -48,7 +48,7 @@
             record.say("answered %d, of these refused %d", answers.size(), refused);
             record.say("REFUSED: %d were answered 503 and ran: %s", ran.size(), ran);
             record.say("TWICE: %d ran more than once: %s", twice.size(), twice);
-            exit = answers.size() < 1_000 ? 2 : ran.isEmpty() && twice.isEmpty() ? 0 : 1;
+            exit = answers.size() < 1_000 ? 2 : ran.isEmpty() && twice.isEmpty() ? 0 : Record.BROKEN;
         } catch (IOException | RuntimeException failure) {
             failure.printStackTrace();
         }
@@ -68,6 +68,7 @@
                 Map.of("X-Almondhaven-Attempt-Id", attempt, "X-Almondhaven-Deadline-Ms", "1000", "Api-Key", "key-of-tenant-1"));
             try {
                 if (client == null) client = new Client(port);
+                record.line("client sends %s", attempt);
                 Http.Message answer = client.call("POST", "/book/meadow", headers, "{\"crews\":1}".getBytes(), 2_500);
                 answers.put(attempt, answer.status());
                 record.line("client gets %d for %s", answer.status(), attempt);
--- a/review/standins/Record.java
+++ b/review/standins/Record.java
@@ -5,6 +5,9 @@
 
 /** Writes what was sent, answered and run to a file, with milliseconds since the start. */
 final class Record implements AutoCloseable {
+    /** How a script ends that has seen a broken rule; run.sh makes 1 of it, and 2 of everything but this and 0. */
+    static final int BROKEN = 10;
+
     private final long start = System.nanoTime();
     private final PrintWriter out;
 
--- a/review/standins/RestartedRollOut.java
+++ b/review/standins/RestartedRollOut.java
@@ -97,7 +97,7 @@
         }
         record.say("PINNED: of %d requests that follow another one in their session %d went back to the old version and %d "
             + "moved to the new one in the first half", pairs, back, early);
-        return pairs < 200 ? 2 : back + early > 3 ? 1 : 0;
+        return pairs < 200 ? 2 : back + early > 3 ? Record.BROKEN : 0;
     }
 
     /** The platform: at `done` the old replicas are gone. */
@@ -129,6 +129,7 @@
                     "X-Almondhaven-Prompt-Prefix", "5c1e07a2:119,91bd3f06:79,e4402b7" + session + ":430", "Api-Key", "key-of-tenant-1"));
                 long sentAt = record.millis();
                 try (Client client = new Client(routers.all.get(router).front)) {
+                    record.line("client sends %s", attempt);
                     Http.Message answer = client.call("POST", "/caption/page", headers, "{}".getBytes(), 21_000);
                     String version = versionOf.get(attempt);
                     record.line("router %d answers %s with %d, ran on %s", router + 1, attempt, answer.status(), version);
--- a/review/standins/SilentStore.java
+++ b/review/standins/SilentStore.java
@@ -56,7 +56,7 @@
                 for (Thread user : users) user.join();
                 int late = replicas.get(0).arrivalsAfterLeaving.get() + replicas.get(1).arrivalsAfterLeaving.get();
                 record.say("answered %d; DRAIN: %d requests reached a replica later than 2000 ms after that", answered.get(), late);
-                exit = answered.get() < 500 ? 2 : late == 0 ? 0 : 1;
+                exit = answered.get() < 500 ? 2 : late == 0 ? 0 : Record.BROKEN;
             }
         } catch (IOException | RuntimeException failure) {
             failure.printStackTrace();
@@ -79,6 +79,7 @@
                 Map.of("X-Almondhaven-Attempt-Id", attempt, "X-Almondhaven-Deadline-Ms", "1000", "Api-Key", "key-of-tenant-1"));
             try {
                 if (client == null) client = new Client(port);
+                record.line("client sends %s", attempt);
                 Http.Message answer = client.call("GET", "/check/meadow", headers, new byte[0], 2_500);
                 record.line("client gets %d for %s", answer.status(), attempt);
                 if (answer.status() == 200) answered.incrementAndGet();
