Log the connection, status and signature of each attempt

Now ATTEMPT_ENDED and REQUEST_ENDED carry `connection=NUMBER/SEND status= signature=`, an answer without a request id is logged as ENDPOINT_ANSWER_BAD, and one on a connection with no request in flight as ANSWER_UNSOLICITED. No decision changes.

--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Attempt.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Attempt.kt
@@ -73,6 +73,7 @@
     private val bufferedBody = ByteArrayOutputStream()
     private var discardedBytes = 0
     private var status = 0
+    private var signature: String? = null
     private var headers: List<Pair<String, String>> = emptyList()
 
     /** Whether the end of the connection is the end of the response. */
@@ -159,10 +160,17 @@
         val signals = WireCalls.parseResponse(status) { headers.get(it) }
         if (signals.requestId != null && signals.requestId != call.id) {
             LogEvent.ENDPOINT_ANSWER_BAD.log(logger) {
-                "request=${call.id} endpoint=${endpointState.listing.id} response to ${signals.requestId}"
+                "request=${call.id} endpoint=${endpointState.listing.id} connection=${outbound?.sendNumber} " +
+                    "response to ${signals.requestId}"
             }
             return HeadAction.SKIP
         }
+        if (signals.requestId == null) {
+            LogEvent.ENDPOINT_ANSWER_BAD.log(logger) {
+                "request=${call.id} endpoint=${endpointState.listing.id} connection=${outbound?.sendNumber} " +
+                    "response without a request id, status=$status"
+            }
+        }
         context.placement.reachability.recordReached(endpointState.listing.failureDomain)
         signals.load?.let { endpointState.recordLoad(it, context.clock.nanos()) }
         recordRateLimit(signals.requestsPerSecond)
@@ -171,6 +179,7 @@
             endpointState.warmUp.extendTo(now + it.inWholeNanoseconds, now)
         }
         this.status = status
+        signature = signals.signature
         isDelimitedByClose =
             !headers.contains(HttpHeaderNames.CONTENT_LENGTH) && !headers.contains(HttpHeaderNames.TRANSFER_ENCODING)
         this.headers = WireCalls.callerResponseHeaders(headers)
@@ -480,7 +489,8 @@
     override fun toString(): String =
         "endpoint=${endpointState.listing.id} version=${endpointState.listing.version} model=$model " +
             "unread=$uncachedTokens readingMillis=${prefillMillis.toInt()} " +
-            "attemptMillis=${firstResponseMillis?.toInt()} attemptEvents=$eventCount"
+            "attemptMillis=${firstResponseMillis?.toInt()} attemptEvents=$eventCount " +
+            "connection=${outbound?.sendNumber} status=$status signature=$signature"
 
     private companion object {
         val SUCCESS = 200..299
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/net/OutboundCall.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/net/OutboundCall.kt
@@ -8,8 +8,13 @@
     var isCancelled = false
         private set
 
+    /** Number of the connection that carries the request and of the request on it; null until one is open. */
+    var sendNumber: String? = null
+        private set
+
     fun attach(connection: OutboundConnection) {
         this.connection = connection
+        sendNumber = connection.nextSendNumber
     }
 
     /**
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/net/OutboundConnection.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/net/OutboundConnection.kt
@@ -1,5 +1,7 @@
 package dev.almondhaven.gateway.net
 
+import dev.almondhaven.model.LogEvent
+import io.github.oshai.kotlinlogging.KotlinLogging
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
@@ -14,6 +16,9 @@
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
+import java.util.concurrent.atomic.AtomicLong
+
+private val logger = KotlinLogging.logger {}
 
 /**
  * One HTTP/1.1 connection to an endpoint or to the store, with one request at a time. A connection is reused only while
@@ -31,6 +36,12 @@
     private var requestWritten = false
     private var isReusable = true
 
+    private val number = LAST_NUMBER.incrementAndGet()
+    private var sends = 0
+
+    /** The number of this connection in the process and of the next request on it, which tell sends apart in logs. */
+    val nextSendNumber: String get() = "$number/${sends + 1}"
+
     /** Bytes received since the last ones that belonged to a response to the request in flight. */
     private var unusedBytes = 0L
 
@@ -50,6 +61,7 @@
         check(this.listener == null) { "the connection to $host already carries a request" }
         if (!channel.isActive) return listener.onFailure(sent = false, reason = "closed before the request")
         this.listener = listener
+        sends++
         headReceived = false
         requestWritten = false
         unusedBytes = 0
@@ -97,7 +109,7 @@
     ) {
         try {
             onBytesReceived()
-            if (listener == null || message !is HttpObject) return close()
+            if (listener == null || message !is HttpObject) return closeUnsolicited(message)
             if (message.decoderResult().isFailure) return fail("not HTTP: ${message.decoderResult().cause()?.message}")
             if (message is HttpResponse) handleHead(message)
             if (message is HttpContent) handleContent(message)
@@ -106,6 +118,16 @@
         }
     }
 
+    /** Closes the connection because of bytes that belong to no request. */
+    private fun closeUnsolicited(message: Any) {
+        if (message is HttpResponse) {
+            LogEvent.ANSWER_UNSOLICITED.log(logger) {
+                "address=$host connection=$number/$sends status=${message.status().code()}"
+            }
+        }
+        close()
+    }
+
     private fun handleHead(response: HttpResponse) {
         headReceived = true
         val status = response.status().code()
@@ -175,6 +197,7 @@
     ): Unit = fail("connection failed: ${cause.message}")
 
     private companion object {
+        val LAST_NUMBER = AtomicLong()
         val METHODS_WITHOUT_BODY = setOf("GET", "HEAD", "DELETE", "OPTIONS")
         val INFORMATIONAL = 100..199
         val KEEP_ALIVE_TIMEOUT = Regex("""timeout=(\d+)""")
--- a/model/src/main/kotlin/dev/almondhaven/model/LogEvent.kt
+++ b/model/src/main/kotlin/dev/almondhaven/model/LogEvent.kt
@@ -78,6 +78,11 @@
         Level.INFO,
         "An endpoint states another limit of requests per second, or none any more.",
     ),
+    ANSWER_UNSOLICITED(
+        4011,
+        Level.WARN,
+        "A response arrived on a connection with no request in flight; it was closed.",
+    ),
 
     CLAIM_WRITE_UNSETTLED(5001, Level.WARN, "A read or write of claims failed; it is retried."),
     CLAIM_OPERATION_DROPPED(5002, Level.WARN, "The queue of claim operations is full; an operation was rejected."),
