Reuse a connection only if nothing followed its response

What callers saw: 502 for a request that the endpoint had run, after bytes that belong to no response had come behind the one before it on the connection.

Cause: a connection went back to the pool before the bytes behind its response were looked at, and bytes that the decoder can't complete to a message, as the beginning of a head, were never seen while the connection was idle. They stood in front of the next answer.

Now a connection is offered for reuse when the read that ended its response is over and the decoder holds no bytes, and bytes that arrive while no request is in flight close it, decoded or not (BYTES_UNSOLICITED). HttpClientCodec doesn't show what it holds; the response decoder stands in its place and is told of HEAD requests itself.

--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/net/ConnectionPool.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/net/ConnectionPool.kt
@@ -7,8 +7,8 @@
 import io.netty.channel.ConnectTimeoutException
 import io.netty.channel.EventLoop
 import io.netty.channel.socket.nio.NioSocketChannel
-import io.netty.handler.codec.http.HttpClientCodec
 import io.netty.handler.codec.http.HttpDecoderConfig
+import io.netty.handler.codec.http.HttpRequestEncoder
 import java.net.ConnectException
 import java.net.InetSocketAddress
 import kotlin.time.Duration
@@ -118,13 +118,10 @@
         return bootstrap.handler(
             object : ChannelInitializer<Channel>() {
                 override fun initChannel(channel: Channel) {
-                    val connection = OutboundConnection(channel, address, ::release, onBytesReceived)
+                    val decoder = ResponseDecoder(DECODER)
+                    val connection = OutboundConnection(channel, address, decoder, ::release, onBytesReceived)
                     onCreated(connection)
-                    channel.pipeline().addLast(
-                        RawByteCounter(connection),
-                        HttpClientCodec(DECODER, false, false),
-                        connection,
-                    )
+                    channel.pipeline().addLast(RawByteCounter(connection), decoder, HttpRequestEncoder(), connection)
                 }
             },
         )
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/net/OutboundConnection.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/net/OutboundConnection.kt
@@ -27,6 +27,7 @@
 internal class OutboundConnection(
     private val channel: Channel,
     private val host: String,
+    private val decoder: ResponseDecoder,
     private val onIdle: (OutboundConnection) -> Unit,
     private val onBytesReceived: () -> Unit,
 ) : ChannelInboundHandlerAdapter() {
@@ -36,6 +37,9 @@
     private var requestWritten = false
     private var isReusable = true
 
+    /** Whether a response has ended whose bytes are still being read. */
+    private var isReleasePending = false
+
     private val number = LAST_NUMBER.incrementAndGet()
     private var sends = 0
 
@@ -72,6 +76,7 @@
         headReceived = false
         requestWritten = false
         unusedBytes = 0
+        decoder.isHeadRequest = request.method == "HEAD"
         val content = if (request.body.isEmpty()) Unpooled.EMPTY_BUFFER else Unpooled.wrappedBuffer(request.body)
         val message =
             DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(request.method), request.path, content)
@@ -103,9 +108,11 @@
 
     /**
      * Counts [bytes] before they are decoded. Blank lines, interim responses and responses to other requests may
-     * follow each other without end, and the decoder does not bound them.
+     * follow each other without end, and the decoder does not bound them. Bytes that belong to no request close the
+     * connection, also those that the decoder would wait to complete.
      */
     fun onRawBytes(bytes: Int) {
+        if (listener == null) return closeUnsolicited(bytes)
         unusedBytes += bytes
         if (unusedBytes > MAX_UNUSED_BYTES) fail("$unusedBytes bytes without a response")
     }
@@ -116,7 +123,7 @@
     ) {
         try {
             onBytesReceived()
-            if (listener == null || message !is HttpObject) return closeUnsolicited(message)
+            if (listener == null || message !is HttpObject) return close()
             if (message.decoderResult().isFailure) return fail("not HTTP: ${message.decoderResult().cause()?.message}")
             if (message is HttpResponse) handleHead(message)
             if (message is HttpContent) handleContent(message)
@@ -125,13 +132,9 @@
         }
     }
 
-    /** Closes the connection because of bytes that belong to no request. */
-    private fun closeUnsolicited(message: Any) {
-        if (message is HttpResponse) {
-            LogEvent.ANSWER_UNSOLICITED.log(logger) {
-                "address=$host connection=$number/$sends status=${message.status().code()}"
-            }
-        }
+    private fun closeUnsolicited(bytes: Int) {
+        if (!isOpen) return
+        LogEvent.BYTES_UNSOLICITED.log(logger) { "address=$host connection=$number/$sends bytes=$bytes" }
         close()
     }
 
@@ -182,10 +185,18 @@
         listener = null
         idleSince = System.nanoTime()
         // If the response ended before the request was fully written, the rest of the body is still in transit.
-        if (isReusable && requestWritten && channel.isActive) onIdle(this) else close()
+        if (isReusable && requestWritten) isReleasePending = true else close()
         ended.onEnd()
     }
 
+    /** Offers the connection for reuse once all bytes that arrived with the response are known to belong to it. */
+    override fun channelReadComplete(context: ChannelHandlerContext) {
+        if (!isReleasePending) return
+        isReleasePending = false
+        if (decoder.unreadBytes > 0) closeUnsolicited(decoder.unreadBytes)
+        if (isOpen) onIdle(this)
+    }
+
     private fun fail(reason: String) {
         val failed = listener
         listener = null
--- a/model/src/main/kotlin/dev/almondhaven/model/LogEvent.kt
+++ b/model/src/main/kotlin/dev/almondhaven/model/LogEvent.kt
@@ -78,10 +78,10 @@
         Level.INFO,
         "An endpoint states another limit of requests per second, or none any more.",
     ),
-    ANSWER_UNSOLICITED(
+    BYTES_UNSOLICITED(
         4011,
         Level.WARN,
-        "A response arrived on a connection with no request in flight; it was closed.",
+        "Bytes arrived on a connection to an endpoint or the store that belong to no request; it was closed.",
     ),
 
     CLAIM_WRITE_UNSETTLED(5001, Level.WARN, "A read or write of claims failed; it is retried."),
