Resume a stream only with events, never with a whole response

A stream had begun and broke off; the next endpoint answered the resumption with a signed success that is no event stream, or with 204. What a caller with a kept connection saw: its stream stopped after the last event, neither ended nor closed, for as long as the connection lived; and if the next request on the connection was a stream, the events of that stream in the middle of the first one, which then ended as complete. With 204 and an event-stream type, the stream ended as complete after the last event before the break.

Cause: Exchange.onUnaryResponse wrote a whole response after a head that was already sent. The encoder refuses that, so that nothing is written, yet the connection counts the response as ended and serves the next request; its head is refused as well, but its chunks fit the first stream.

Now such a success is abandoned as soon as its head arrives, like one without a signature, and the next endpoint is tried. If none is left the connection is closed without a last chunk.

--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Attempt.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Attempt.kt
@@ -177,7 +177,7 @@
         stage = stageOf(status, signals, headers)
         when (stage) {
             Stage.EVENTS -> startStream(signals)
-            Stage.SETTLED -> abandon("a success without its signature")
+            Stage.SETTLED -> abandon("unusable success: ${rejection(status, signals, headers)}")
             else -> recordFirstResponse()
         }
         if (status == MISDIRECTED && !callerNamesModel) recordReplaced()
@@ -214,11 +214,28 @@
         when {
             signals.notRun -> Stage.STATED_NOT_RUN
             status !in SUCCESS -> Stage.FAILURE
-            !signals.isSigned -> Stage.SETTLED
-            headers.get("Content-Type")?.startsWith("text/event-stream") == true -> Stage.EVENTS
+            rejection(status, signals, headers) != null -> Stage.SETTLED
+            isEventStream(status, headers) -> Stage.EVENTS
             else -> Stage.WHOLE
         }
 
+    /** Why a success can't be passed on; null if it can. */
+    private fun rejection(
+        status: Int,
+        signals: ResponseMetadata,
+        headers: HttpHeaders,
+    ): String? =
+        when {
+            !signals.isSigned -> "no signature"
+            exchange.responseStarted && !isEventStream(status, headers) -> "no events to go on with"
+            else -> null
+        }
+
+    private fun isEventStream(
+        status: Int,
+        headers: HttpHeaders,
+    ): Boolean = status !in WITHOUT_CONTENT && headers.get("Content-Type")?.startsWith("text/event-stream") == true
+
     private fun recordFirstResponse() {
         if (firstResponseMillis != null) return
         val millis = (context.clock.nanos() - startedAt) / NANOS_PER_MILLI
@@ -484,6 +501,9 @@
 
     private companion object {
         val SUCCESS = 200..299
+
+        /** Statuses of responses that never have a body. */
+        val WITHOUT_CONTENT = setOf(204, 205)
         const val NANOS_PER_MILLI = 1e6
 
         /** Status of an endpoint that is not the intended one. */
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Exchange.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Exchange.kt
@@ -52,7 +52,8 @@
         private set
 
     /** Whether the head of the response has been sent to the caller. */
-    private var responseStarted = false
+    var responseStarted = false
+        private set
     private var lastEventId: Long? = call.demand.resumeAfter
     private var eventCount = 0
     private var confidence: Int? = null
--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/GatewayFixture.kt
@@ -89,7 +89,10 @@
             }
         }
 
-    fun connect(): Socket = Socket("127.0.0.1", gateway.callerPort)
+    /** Port on which the gateway listens for callers. */
+    val callerPort: Int get() = gateway.callerPort
+
+    fun connect(): Socket = Socket("127.0.0.1", callerPort)
 
     /** The text of a request; the router closes the connection after the response unless [keepAlive]. */
     fun request(
