Resume no stream with encoded events

The endpoint that resumed a stream stated a Content-Encoding, the first one did not. Callers would have seen the encoded bytes after the plain ones, under a head that states no encoding.

Cause: only the content type of a resumption was looked at.

Failed before: expected "... data: e3 (cut)", found "... data: e3", "id: 4", "data: e4" and so on to event 6, complete.

Now such a resumption is abandoned. A first answer with an encoding is passed on with its header as before.

--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Attempt.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Attempt.kt
@@ -227,7 +227,9 @@
     ): String? =
         when {
             !signals.isSigned -> "no signature"
-            exchange.responseStarted && !isEventStream(status, headers) -> "no events to go on with"
+            !exchange.responseStarted -> null
+            !isEventStream(status, headers) -> "no events to go on with"
+            headers.contains(HttpHeaderNames.CONTENT_ENCODING) -> "encoded events after plain ones"
             else -> null
         }
 
--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/ResumedStreamTest.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/ResumedStreamTest.kt
@@ -157,6 +157,15 @@
                 fixture.close()
             }
         }
+
+        @Test
+        fun `ends visibly broken if that success is encoded events`() {
+            val encoded: (ScriptedEndpoint.ReceivedRequest) -> Unit = {
+                val headers = WireSamples.answerHeaders(it.id, CONFIDENCE) + ("Content-Encoding" to "gzip")
+                it.respond(events(4..6), headers = headers)
+            }
+            expectThat(start(encoded).stream()).isEqualTo(cut)
+        }
     }
 
     @Nested
