A resumed stream that ends with its connection needs a new event

An endpoint resumed a stream without a length, began with the first event again, and its connection ended before it came to an event that the caller lacked. Callers would have seen their stream end as complete after the last event before the break.

Cause: the rule that the end of a connection alone is no end before the first event counted events that the caller already had.

Failed before: expected "id: 3 data: e3 (cut)" at the end, found the same with a last chunk.

Now only events that are passed on count. An end that the endpoint states, by a last chunk or a length, still counts without a new event: the last event may have been passed on before the break, and then nothing is left to send.

--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Attempt.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Attempt.kt
@@ -82,6 +82,9 @@
     /** Events that the endpoint has sent, including those that the caller already had. */
     private var eventCount = 0
 
+    /** Events that were new to the caller. */
+    private var newEventCount = 0
+
     /** Whether the silence of the endpoint has been counted as a failure. */
     private var isSilenceCounted = false
 
@@ -293,7 +296,7 @@
         if (events.isNotEmpty()) lastEventAt = context.clock.nanos()
         if (events.isNotEmpty() && eventCount == 0) context.promptQuarantine.recordAnswer(call.demand.sharedParts)
         eventCount += events.size
-        events.forEach(exchange::onEvent)
+        newEventCount += events.count(exchange::onEvent)
         if (stage == Stage.EVENTS && splitter.isOversized) abandon("an event without end")
     }
 
@@ -319,7 +322,7 @@
             Stage.EVENTS -> {
                 when {
                     splitter.hasPartialEvent -> breakOff("ended in the middle of an event")
-                    isDelimitedByClose && eventCount == 0 -> breakOff("ended before the first event")
+                    isDelimitedByClose && newEventCount == 0 -> breakOff("ended without a new event")
                     else -> succeed { exchange.onStreamEnd(this) }
                 }
             }
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Exchange.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Exchange.kt
@@ -299,15 +299,17 @@
         writer.beginResponse(status, headers)
     }
 
-    fun onEvent(event: StreamEvent) {
-        if (isFinished) return
+    /** Passes [event] on; returns false if the caller already has it, or gets no more. */
+    fun onEvent(event: StreamEvent): Boolean {
+        if (isFinished) return false
         val id = event.id
         val received = lastEventId
         // A resuming endpoint may repeat events that the caller already has.
-        if (id != null && received != null && id <= received) return
+        if (id != null && received != null && id <= received) return false
         if (id != null) lastEventId = id
         eventCount++
         if (!writer.write(event.bytes)) attempt?.setAutoRead(enabled = false)
+        return true
     }
 
     fun onStreamEnd(from: Attempt) {
--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/ResumedStreamTest.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/ResumedStreamTest.kt
@@ -302,6 +302,11 @@
             expectThat(start(closeAfter("")).stream()).isEqualTo(cut)
         }
 
+        @Test
+        fun `does not look complete if the connection alone ends, after events that the caller had`() {
+            expectThat(start(closeAfter(events(1..2))).stream()).isEqualTo(cut)
+        }
+
         @Test
         fun `does not look complete if its length is not reached`() {
             val short: (ScriptedEndpoint.ReceivedRequest) -> Unit = {
