Resume no stream after an event without an id

A stream whose events have no ids broke off. Callers would have got its events again, all from the first one, and then the end of a complete stream.

Cause: without an id there is nothing to resume after, so that the next endpoint began anew, and an event without an id can't be recognised as repeated.

Failed before: expected "data: a data: b (cut)", found "data: a data: b data: a data: b".

Now the exchange has no further attempt after it passed on data without an id, and the stream ends visibly broken; a stall is waited for. Comments carry no data and don't count: they may be left out or repeated.

--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Exchange.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Exchange.kt
@@ -55,6 +55,9 @@
     var responseStarted = false
         private set
     private var lastEventId: Long? = call.demand.resumeAfter
+
+    /** Whether the caller has received an event without an id, which a resumption would repeat or leave out. */
+    private var hasUnnumberedEvent = false
     private var eventCount = 0
     private var confidence: Int? = null
     private var backlogMillis: Int? = null
@@ -136,7 +139,7 @@
 
     /** Whether the request may be sent once more, given that no attempt is in flight. */
     private fun canAttempt(): Boolean =
-        (call.route.isRetryable || !mayHaveExecuted) && executions < call.route.maxAttempts &&
+        !hasUnnumberedEvent && (call.route.isRetryable || !mayHaveExecuted) && executions < call.route.maxAttempts &&
             sends < call.route.maxAttempts + MAX_NOT_EXECUTED_SENDS
 
     /**
@@ -306,12 +309,20 @@
         val received = lastEventId
         // A resuming endpoint may repeat events that the caller already has.
         if (id != null && received != null && id <= received) return false
-        if (id != null) lastEventId = id
+        if (id != null) {
+            lastEventId = id
+        } else if (carriesData(event)) {
+            hasUnnumberedEvent = true
+        }
         eventCount++
         if (!writer.write(event.bytes)) attempt?.setAutoRead(enabled = false)
         return true
     }
 
+    /** False for a comment, for example, which keeps a silent connection open and may be left out. */
+    private fun carriesData(event: StreamEvent): Boolean =
+        String(event.bytes, Charsets.ISO_8859_1).lineSequence().any { it.startsWith("data") }
+
     fun onStreamEnd(from: Attempt) {
         if (from !== attempt) return
         finish("served") { writer.complete() }
--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/ResumedStreamTest.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/ResumedStreamTest.kt
@@ -316,6 +316,16 @@
             }
             expectThat(start(short, { it.socket.close() }).stream()).isEqualTo("${events(1..5)} (cut)")
         }
+
+        @Test
+        fun `repeats no event that has no id, and does not look complete`() {
+            val unnumbered = "data: a\n\ndata: b\n\n"
+            val again: (ScriptedEndpoint.ReceivedRequest) -> Unit = {
+                it.begin()
+                it.write(chunk(unnumbered) + LAST_CHUNK)
+            }
+            expectThat(start(again, first = { it.breakAfter(unnumbered) }).stream()).isEqualTo("$unnumbered (cut)")
+        }
     }
 
     @Nested
