Don't take a pause of the caller for a stall of the endpoint

A caller that read nothing for more than about 350 ms of a large stream had its request sent to every other endpoint it may go to, though the first one worked on; each endpoint was counted as failed. The caller's stream was right in the end.

Cause: reading from the endpoint pauses while the caller's buffers are full, and checkStalled counted this as silence.

Failed before: expected 1 request at the endpoints, found 3 (8 events of 0.9 MB, a pause of 1.2 s).

Now a paused attempt can't stall, and its silence counts from the moment at which reading goes on. A caller that never reads again is ended by the timeout of its request.

--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Attempt.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Attempt.kt
@@ -79,6 +79,9 @@
     private var isDelimitedByClose = false
     private var lastEventAt = 0L
 
+    /** Whether nothing is read from the endpoint, since the caller has yet to read what was passed on. */
+    private var isPaused = false
+
     /** Events that the endpoint has sent, including those that the caller already had. */
     private var eventCount = 0
 
@@ -152,6 +155,9 @@
     }
 
     fun setAutoRead(enabled: Boolean) {
+        // The endpoint was not silent for as long as nothing was read from it.
+        if (isPaused && enabled) lastEventAt = context.clock.nanos()
+        isPaused = !enabled
         outbound?.setAutoRead(enabled)
     }
 
@@ -453,6 +459,7 @@
 
     /** Fails the attempt, or counts a failure of the endpoint, if the response has stalled. */
     fun checkStalled() {
+        if (isPaused) return
         val now = context.clock.nanos()
         if (stage == Stage.STATED_NOT_RUN) {
             if ((now - lastEventAt).nanoseconds > NOT_RUN_BODY_TIMEOUT) endNotExecuted()
--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/ResumedStreamTest.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/ResumedStreamTest.kt
@@ -340,6 +340,45 @@
         }
     }
 
+    @Nested
+    inner class `a stream to a caller that reads slowly` {
+        private val large = (1..LARGE_EVENTS).joinToString("") { "id: $it\ndata: ${"x".repeat(EVENT_BYTES)}\n\n" }
+
+        private val writeLarge: (ScriptedEndpoint.ReceivedRequest) -> Unit = {
+            it.begin()
+            it.write(chunk(large) + LAST_CHUNK)
+        }
+
+        /** Reads all of a large stream after [delayMillis], with a pause of [pauseMillis] after each block. */
+        private fun GatewayFixture.readSlowly(
+            delayMillis: Long,
+            pauseMillis: Long,
+        ): String =
+            Socket().use { socket ->
+                socket.receiveBufferSize = RECEIVE_BUFFER_BYTES
+                socket.soTimeout = OPEN_MILLIS
+                socket.connect(InetSocketAddress("127.0.0.1", callerPort))
+                socket.getOutputStream().write(request(streamPath, "r-1").toByteArray())
+                TimeUnit.MILLISECONDS.sleep(delayMillis)
+                val received = ByteArrayOutputStream()
+                while (true) {
+                    val block = socket.getInputStream().readNBytes(BLOCK_BYTES)
+                    if (block.isEmpty()) break
+                    received.writeBytes(block)
+                    TimeUnit.MILLISECONDS.sleep(pauseMillis)
+                }
+                decode(received.toString())
+            }
+
+        @Test
+        fun `is not sent to another endpoint because the caller pauses`() {
+            val fixture = start(writeLarge, first = writeLarge)
+
+            expectThat(fixture.readSlowly(delayMillis = LONG_PAUSE_MILLIS, pauseMillis = 0) == large).isEqualTo(true)
+            expectThat(streamCount.get()).isEqualTo(1)
+        }
+    }
+
     private companion object {
         const val CONFIDENCE = 90
         val CHUNKED = "Transfer-Encoding" to "chunked"
