Answer HEAD on a streaming route with the head alone

The head of an event stream is the whole answer to HEAD. It was taken for a stream that ended before its first event: the request ran at up to three endpoints, and then the caller's connection was closed. For an answer with a length, callers would have seen the last chunk of a stream, "0", after the head, where the next answer of the connection is due.

Cause: the stage of an attempt didn't depend on the method.

Failed before: expected "HTTP/1.1 200 OK", no body and 1 request at the endpoints, found 3 requests, for an answer in chunks and for one without a length; the body "0" and an empty line for an answer with a length.

Now such a response is passed on whole, which for HEAD is its head; it states a length of 0, as for other routes.

--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Attempt.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Attempt.kt
@@ -224,10 +224,13 @@
             signals.notRun -> Stage.STATED_NOT_RUN
             status !in SUCCESS -> Stage.FAILURE
             rejection(status, signals, headers) != null -> Stage.SETTLED
-            isEventStream(status, headers) -> Stage.EVENTS
+            isEventStream(status, headers) && !isHeadOnly -> Stage.EVENTS
             else -> Stage.WHOLE
         }
 
+    /** Whether the head of a response is all of it. */
+    private val isHeadOnly: Boolean get() = call.request.method == "HEAD"
+
     /** Why a success can't be passed on; null if it can. */
     private fun rejection(
         status: Int,
--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/ResumedStreamTest.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/ResumedStreamTest.kt
@@ -340,6 +340,24 @@
         }
     }
 
+    @Nested
+    inner class `the head of a stream` {
+        @Test
+        fun `is all that a HEAD request gets`() {
+            val heads =
+                listOf(CHUNKED, "Content-Length" to "10", "X-Any" to "any").map { framing ->
+                    val headOnly: (ScriptedEndpoint.ReceivedRequest) -> Unit = {
+                        it.write(it.head("200 OK", WireSamples.answerHeaders(it.id, CONFIDENCE) + framing))
+                    }
+                    val fixture = start(answer("500 Internal Server Error"), first = headOnly)
+                    val text = fixture.request(streamPath, "r-1").replaceFirst("POST", "HEAD")
+                    val received = fixture.exchange(text).also { fixture.close() }
+                    Triple(received.substringBefore("\r\n"), received.substringAfter("\r\n\r\n"), streamCount.get())
+                }
+            expectThat(heads).isEqualTo(List(3) { Triple("HTTP/1.1 200 OK", "", 1) })
+        }
+    }
+
     @Nested
     inner class `a stream to a caller that reads slowly` {
         private val large = (1..LARGE_EVENTS).joinToString("") { "id: $it\ndata: ${"x".repeat(EVENT_BYTES)}\n\n" }
