Test that fails: a connection is reused whose reading is paused

This test fails, and its fix is not in this commit: OutboundConnection.complete gives a connection back to the pool while its auto-read is off, if the end of a response arrives with the bytes that made the caller's channel unwritable. After that nothing reads from it, and the next request on it gets no answer; a caller sees a 504, or a retry.

--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/ResumedStreamTest.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/ResumedStreamTest.kt
@@ -395,6 +395,15 @@
             expectThat(fixture.readSlowly(delayMillis = LONG_PAUSE_MILLIS, pauseMillis = 0) == large).isEqualTo(true)
             expectThat(streamCount.get()).isEqualTo(1)
         }
+
+        @Test
+        fun `leaves a connection on which the next request is answered`() {
+            val fixture = start({ it.respond("next") }, first = writeLarge, endpointCount = 1)
+
+            expectThat(fixture.readSlowly(delayMillis = 0, pauseMillis = BLOCK_MILLIS) == large).isEqualTo(true)
+            expectThat(fixture.call("${WireSamples.NON_IDEMPOTENT_PATH}a", "r-2").substringAfter("\r\n\r\n"))
+                .isEqualTo("next")
+        }
     }
 
     private companion object {
