--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Attempt.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Attempt.kt
@@ -80,9 +80,15 @@
     private var isDelimitedByClose = false
     private var lastEventAt = 0L
 
+    /** Whether nothing is read from the endpoint, since the caller has yet to read what was passed on. */
+    private var isPaused = false
+
     /** Events that the endpoint has sent, including those that the caller already had. */
     private var eventCount = 0
 
+    /** Events that were new to the caller. */
+    private var newEventCount = 0
+
     /** Whether the silence of the endpoint has been counted as a failure. */
     private var isSilenceCounted = false
 
@@ -150,6 +156,9 @@
     }
 
     fun setAutoRead(enabled: Boolean) {
+        // The endpoint was not silent for as long as nothing was read from it.
+        if (isPaused && enabled) lastEventAt = context.clock.nanos()
+        isPaused = !enabled
         outbound?.setAutoRead(enabled)
     }
 
@@ -186,7 +195,7 @@
         stage = stageOf(status, signals, headers)
         when (stage) {
             Stage.EVENTS -> startStream(signals)
-            Stage.SETTLED -> abandon("a success without its signature")
+            Stage.SETTLED -> abandon("unusable success: ${rejection(status, signals, headers)}")
             else -> recordFirstResponse()
         }
         if (status == MISDIRECTED && !callerNamesModel) recordReplaced()
@@ -223,11 +232,33 @@
         when {
             signals.notRun -> Stage.STATED_NOT_RUN
             status !in SUCCESS -> Stage.FAILURE
-            !signals.isSigned -> Stage.SETTLED
-            headers.get("Content-Type")?.startsWith("text/event-stream") == true -> Stage.EVENTS
+            rejection(status, signals, headers) != null -> Stage.SETTLED
+            isEventStream(status, headers) && !isHeadOnly -> Stage.EVENTS
             else -> Stage.WHOLE
         }
 
+    /** Whether the head of a response is all of it. */
+    private val isHeadOnly: Boolean get() = call.request.method == "HEAD"
+
+    /** Why a success can't be passed on; null if it can. */
+    private fun rejection(
+        status: Int,
+        signals: ResponseMetadata,
+        headers: HttpHeaders,
+    ): String? =
+        when {
+            !signals.isSigned -> "no signature"
+            !exchange.responseStarted -> null
+            !isEventStream(status, headers) -> "no events to go on with"
+            headers.contains(HttpHeaderNames.CONTENT_ENCODING) -> "encoded events after plain ones"
+            else -> null
+        }
+
+    private fun isEventStream(
+        status: Int,
+        headers: HttpHeaders,
+    ): Boolean = status !in WITHOUT_CONTENT && headers.get("Content-Type")?.startsWith("text/event-stream") == true
+
     private fun recordFirstResponse() {
         if (firstResponseMillis != null) return
         val millis = (context.clock.nanos() - startedAt) / NANOS_PER_MILLI
@@ -283,7 +314,7 @@
         if (events.isNotEmpty()) lastEventAt = context.clock.nanos()
         if (events.isNotEmpty() && eventCount == 0) context.promptQuarantine.recordAnswer(call.demand.sharedParts)
         eventCount += events.size
-        events.forEach(exchange::onEvent)
+        newEventCount += events.count(exchange::onEvent)
         if (stage == Stage.EVENTS && splitter.isOversized) abandon("an event without end")
     }
 
@@ -309,7 +340,7 @@
             Stage.EVENTS -> {
                 when {
                     splitter.hasPartialEvent -> breakOff("ended in the middle of an event")
-                    isDelimitedByClose && eventCount == 0 -> breakOff("ended before the first event")
+                    isDelimitedByClose && newEventCount == 0 -> breakOff("ended without a new event")
                     else -> succeed { exchange.onStreamEnd(this) }
                 }
             }
@@ -440,6 +471,7 @@
 
     /** Fails the attempt, or counts a failure of the endpoint, if the response has stalled. */
     fun checkStalled() {
+        if (isPaused) return
         val now = context.clock.nanos()
         if (stage == Stage.STATED_NOT_RUN) {
             if ((now - lastEventAt).nanoseconds > NOT_RUN_BODY_TIMEOUT) endNotExecuted()
@@ -494,6 +526,9 @@
 
     private companion object {
         val SUCCESS = 200..299
+
+        /** Statuses of responses that never have a body. */
+        val WITHOUT_CONTENT = setOf(204, 205)
         const val NANOS_PER_MILLI = 1e6
 
         /** Status of an endpoint that is not the intended one. */
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Exchange.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Exchange.kt
@@ -52,8 +52,12 @@
         private set
 
     /** Whether the head of the response has been sent to the caller. */
-    private var responseStarted = false
+    var responseStarted = false
+        private set
     private var lastEventId: Long? = call.demand.resumeAfter
+
+    /** Whether the caller has received an event without an id, which a resumption would repeat or leave out. */
+    private var hasUnnumberedEvent = false
     private var eventCount = 0
     private var confidence: Int? = null
     private var backlogMillis: Int? = null
@@ -135,7 +139,7 @@
 
     /** Whether the request may be sent once more, given that no attempt is in flight. */
     private fun canAttempt(): Boolean =
-        (call.route.isRetryable || !mayHaveExecuted) && executions < call.route.maxAttempts &&
+        !hasUnnumberedEvent && (call.route.isRetryable || !mayHaveExecuted) && executions < call.route.maxAttempts &&
             sends < call.route.maxAttempts + MAX_NOT_EXECUTED_SENDS
 
     /**
@@ -298,17 +302,27 @@
         writer.beginResponse(status, headers)
     }
 
-    fun onEvent(event: StreamEvent) {
-        if (isFinished) return
+    /** Passes [event] on; returns false if the caller already has it, or gets no more. */
+    fun onEvent(event: StreamEvent): Boolean {
+        if (isFinished) return false
         val id = event.id
         val received = lastEventId
         // A resuming endpoint may repeat events that the caller already has.
-        if (id != null && received != null && id <= received) return
-        if (id != null) lastEventId = id
+        if (id != null && received != null && id <= received) return false
+        if (id != null) {
+            lastEventId = id
+        } else if (carriesData(event)) {
+            hasUnnumberedEvent = true
+        }
         eventCount++
         if (!writer.write(event.bytes)) attempt?.setAutoRead(enabled = false)
+        return true
     }
 
+    /** False for a comment, for example, which keeps a silent connection open and may be left out. */
+    private fun carriesData(event: StreamEvent): Boolean =
+        String(event.bytes, Charsets.ISO_8859_1).lineSequence().any { it.startsWith("data") }
+
     fun onStreamEnd(from: Attempt) {
         if (from !== attempt) return
         finish("served") { writer.complete() }
