One deeply nested or malformed entry leaves the others of its list or watch readable

Operators would have seen a router that is never ready ("configuration, endpoints or orders are not loaded yet") or that no longer follows the endpoints, after another writer left one entry with some thousand nested lists. With a malformed one the list was called again and again, and a page whose last entry had no name ended the list: the endpoints of the later pages were missing.

Cause: the whole body was parsed at once by a parser that recurses at each nested list. The StackOverflowError was lost like any exception of a response: the call is settled, and nothing calls the store again.

The text is now split into entries and fields by a scan that counts levels instead of recursing; each field is parsed alone, and one that is nested more than 32 levels or malformed counts as missing. Its entry is unreadable, but its name and revision still hold, so that an entry that was good and turns odd is treated as a removed one: its endpoint gets no new requests from then on, and is listed again once the entry can be read. An entry whose finalizers alone are odd holds. Items or events that are no list make a malformed response, which is called again after a pause; missing ones and null are still none.

--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/GatewayFixture.kt
@@ -24,15 +24,20 @@
  * @param allowsRetries whether the retry budget allows any retries.
  * @param heldPath path of the store's objects that it doesn't return until [releaseStore].
  * @param evacuatedDomain failure domain that the store lists as evacuated; null for none.
+ * @param otherEntries entries of other writers that the store lists among those of the endpoints.
  */
 internal class GatewayFixture(
     private val endpoints: List<ScriptedEndpoint>,
     allowsRetries: Boolean = true,
     private val heldPath: String? = null,
     private val evacuatedDomain: String? = null,
+    private val otherEntries: List<String> = emptyList(),
 ) : AutoCloseable {
     private val heldResponses = ConcurrentLinkedQueue<() -> Unit>()
 
+    /** Responses to the next watches of the endpoints. */
+    val endpointChanges = ConcurrentLinkedQueue<String>()
+
     @Volatile
     private var isStoreReleased = false
 
@@ -79,7 +84,16 @@
 
     private fun storeHandler() =
         RequestHandler { request: CallerRequest, writer ->
-            val body = WireSamples.storeBody(request.path, endpoints.map { it.address }, evacuatedDomain)
+            val isEndpointWatch = request.target.startsWith("${WireSamples.ENDPOINTS_PATH}?")
+            val changes = if (isEndpointWatch) endpointChanges.poll() else null
+            val body =
+                changes
+                    ?: WireSamples.storeBody(
+                        request.path,
+                        endpoints.map { it.address },
+                        evacuatedDomain,
+                        otherEntries,
+                    )
             val respond = { writer.respond(OK, listOf("Content-Type" to "application/json"), body.toByteArray()) }
             if (request.path == heldPath && !isStoreReleased) heldResponses += respond else respond()
             object : InFlightRequest {
