A watcher goes on when a list or change can't be applied

Operators would have seen a router that silently follows one kind of objects no longer. Cause: an exception of what applies a response reached the store's connection, which swallowed it; the watch after it was never sent.

Failure line before, of KindWatcherTest: goes on when what it returned or the list before can't be applied: Expect that "/objects/evacuations": is equal to "/objects/evacuations?watch=7&waitMs=28000". The test of a watch that returns only what can't be read passed before; it guards the pause between the watches.

The failure is logged as DUTY_FAILED with its cause, and the next watch is sent.

--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/state/KindWatcher.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/state/KindWatcher.kt
@@ -65,7 +65,7 @@
             failures = 0
             val all = found + page.objects
             if (page.next != null) return@call list(page.next, all)
-            onList(all)
+            apply { onList(all) }
             watch(page.revision)
         }
     }
@@ -94,11 +94,20 @@
         val changes = response?.takeIf { it.status == OK }?.let { StoreCall.changes(it.body) }
         if (changes == null) return retry(response) { watch(revision) }
         failures = 0
-        if (changes.changed.isNotEmpty()) onChanges(changes.changed)
+        if (changes.changed.isNotEmpty()) apply { onChanges(changes.changed) }
         // Changes arrive in bursts; after a short pause one call returns the rest of a burst.
         loop.schedule({ watch(changes.revision) }, batchDelay.inWholeMilliseconds, TimeUnit.MILLISECONDS)
     }
 
+    /** Applies what the store returned. If that fails, later changes are still followed. */
+    private fun apply(action: () -> Unit) {
+        try {
+            action()
+        } catch (failure: RuntimeException) {
+            LogEvent.DUTY_FAILED.log(logger, failure) { "kind=$kind revision=$watchedRevision" }
+        }
+    }
+
     private fun retry(
         response: StoreResponse?,
         action: () -> Unit,
--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/state/KindWatcherTest.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/state/KindWatcherTest.kt
@@ -21,10 +21,12 @@
         KindWatcher(StoreKind.EVACUATIONS, store, channel.eventLoop(), random, 150.milliseconds, ::onList, ::onChanges)
 
     private fun onList(entries: List<StoredObject>) {
+        check(entries.none { it.name == "refused" }) { "refused" }
         seen += entries.map { "list ${it.name}" }
     }
 
     private fun onChanges(changes: List<StoreChange>) {
+        check(changes.none { it.entry.name == "refused" }) { "refused" }
         seen += changes.map { "change ${it.entry.name} removed=${it.removed}" }
     }
 
@@ -87,6 +89,29 @@
             )
         }
 
+        @Test
+        fun `goes on when what it returned or the list before can't be applied`() {
+            watcher.start()
+            runCatching { respond(0, """{"items":[${stored("refused")}],"truncated":false,"currentRev":7}""") }
+            expectThat(store.calls.last().path).isEqualTo("/objects/evacuations?watch=7&waitMs=28000")
+
+            val change = """{"events":[{"removed":false,"object":${stored("refused")}}],"currentRev":9}"""
+            runCatching { respond(store.calls.lastIndex, change) }
+            advance(200)
+            expectThat(store.calls.last().path).isEqualTo("/objects/evacuations?watch=9&waitMs=28000")
+        }
+
+        @Test
+        fun `that returns only what can't be read goes on after a pause`() {
+            watcher.start()
+            respond(0, list)
+            val odd = """{"object":7,"removed":[]},{"removed":true},7,{"object":{"metadata":{"name":{}}}}"""
+            respond(1, """{"events":[$odd],"currentRev":9}""")
+            expectThat(store.calls.size).isEqualTo(2)
+            advance(200)
+            expectThat(store.calls.last().path).isEqualTo("/objects/evacuations?watch=9&waitMs=28000")
+        }
+
         @Test
         fun `that fails is repeated after a delay`() {
             watcher.start()
