A watch of the configuration that ends at once is followed by the next one after a pause

Operators would have seen, and paid for, as many calls as a store answers when it ends watches early without a change or returns only events that can't be read. Cause: only a change was followed by a pause.

Failure line before, of ConfigurationWatcherTest: that the store ends at once is followed by the next one after a pause: Expect that 3: is equal to 2. Now a watch that ended before its full time is followed by a pause of 150 ms, as after a change; the proof of the configuration's age is the same, since such a watch confirms only the time at which it was sent.

--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/state/ConfigurationWatcher.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/state/ConfigurationWatcher.kt
@@ -82,10 +82,10 @@
             val unchanged = changes.changed.isEmpty()
             confirm(if (unchanged && waitedInFull) sent.plus(wait - TIMER_TOLERANCE) else sent)
             logFreshnessChange()
-            if (unchanged) {
-                watch(changes.revision, WATCH_DURATION)
-            } else {
-                schedule(CHANGE_BATCH_DELAY) { watch(changes.revision, WATCH_DURATION_AFTER_CHANGE) }
+            when {
+                !unchanged -> schedule(CHANGE_BATCH_DELAY) { watch(changes.revision, WATCH_DURATION_AFTER_CHANGE) }
+                waitedInFull -> watch(changes.revision, WATCH_DURATION)
+                else -> schedule(EARLY_END_DELAY) { watch(changes.revision, WATCH_DURATION) }
             }
         }
     }
@@ -130,6 +130,9 @@
         /** Changes arrive in bursts; short compared with the two seconds within which a change must take effect. */
         val CHANGE_BATCH_DELAY = 150.milliseconds
 
+        /** Bounds the calls to a store that ends its watches at once. */
+        val EARLY_END_DELAY = 150.milliseconds
+
         /** Safety margin for the transit time of a request from the router to the endpoint, and for clock drift. */
         val REVOCATION_MARGIN = 400.milliseconds
     }
--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/state/ConfigurationWatcherTest.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/state/ConfigurationWatcherTest.kt
@@ -76,6 +76,17 @@
             expectThat(watcher.confirmationAge()).isEqualTo(1_500.milliseconds)
         }
 
+        @Test
+        fun `that the store ends at once is followed by the next one after a pause`() {
+            startAndList()
+            respond(unchanged(7))
+            expectThat(store.calls.size).isEqualTo(2)
+            advance(150)
+
+            expectThat(store.calls.last().path).isEqualTo("/objects/config?watch=7&waitMs=2000")
+            expectThat(store.calls.size).isEqualTo(3)
+        }
+
         @Test
         fun `that reports a change confirms only the state when it was sent, and is followed by a shorter watch`() {
             startAndList()
