An unreadable entry is logged once

Operators would have seen a line for each change and each new list of an odd entry, with a name of any length, and none for an odd roll-out in a list.

--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/Gateway.kt
@@ -14,6 +14,7 @@
 import dev.almondhaven.gateway.state.PromptQuarantineController
 import dev.almondhaven.gateway.state.RollOutController
 import dev.almondhaven.gateway.state.RoutingState
+import dev.almondhaven.gateway.state.UnreadableEntries
 import dev.almondhaven.model.EndpointId
 import dev.almondhaven.model.LogEvent
 import dev.almondhaven.model.NanoClock
@@ -104,7 +105,7 @@
             follow(StoreKind.ENDPOINTS, ::endpointsListed, ::endpointsChanged)
             follow(StoreKind.EVACUATIONS, ::evacuationsListed, ::evacuationsChanged)
             follow(StoreKind.ROLL_OUTS, {
-                rollOuts.replaceOrders(it.mapNotNull(StoredObject::asRollOut))
+                rollOuts.replaceOrders(it.mapNotNull(::decodeRollOut))
             }, { it.forEach(::rollOutChanged) })
             follow(StoreKind.ROUTERS, ::routersListed, ::routersChanged)
             follow(StoreKind.PROMPT_QUARANTINES, promptQuarantine::replaceStored, promptQuarantine::updateStored)
@@ -144,27 +145,19 @@
             else -> BATCH_DELAY
         }
 
+    private val unreadableConfigurations = UnreadableEntries(StoreKind.CONFIGURATION)
+    private val unreadableEndpoints = UnreadableEntries(StoreKind.ENDPOINTS)
+    private val unreadableRollOuts = UnreadableEntries(StoreKind.ROLL_OUTS)
+
     private fun configure(entry: StoredObject) {
         if (entry.name != StoreCall.CONFIGURATION_NAME) return
-        val configuration = entry.asConfiguration()
-        if (configuration == null) {
-            LogEvent.STORE_ENTRY_UNREADABLE.log(logger) { "configuration revision=${entry.revision}" }
-        } else {
-            routing.configure(configuration)
-        }
+        unreadableConfigurations.read(entry, StoredObject::asConfiguration)?.let(routing::configure)
     }
 
     private fun endpointsListed(entries: List<StoredObject>): Unit =
         routing.replaceEndpoints(entries.mapNotNull(::decodeEndpoint), removalTime())
 
-    private fun decodeEndpoint(entry: StoredObject) =
-        entry.asEndpoint().also {
-            if (it ==
-                null
-            ) {
-                LogEvent.STORE_ENTRY_UNREADABLE.log(logger) { "endpoint=${entry.name} revision=${entry.revision}" }
-            }
-        }
+    private fun decodeEndpoint(entry: StoredObject) = unreadableEndpoints.read(entry, StoredObject::asEndpoint)
 
     private fun endpointsChanged(changes: List<StoreChange>) {
         changes.forEach { change ->
@@ -204,14 +197,15 @@
     }
 
     private fun rollOutChanged(change: StoreChange) {
-        val order = change.entry.asRollOut()
-        when {
-            change.removed || change.entry.removed -> rollOuts.withdrawOrder(ServiceId(change.entry.name))
-            order != null -> rollOuts.applyOrder(order)
-            else -> LogEvent.STORE_ENTRY_UNREADABLE.log(logger) { "roll-out=${change.entry.name}" }
+        if (change.removed || change.entry.removed) {
+            rollOuts.withdrawOrder(ServiceId(change.entry.name))
+        } else {
+            decodeRollOut(change.entry)?.let(rollOuts::applyOrder)
         }
     }
 
+    private fun decodeRollOut(entry: StoredObject) = unreadableRollOuts.read(entry, StoredObject::asRollOut)
+
     private val routers = HashMap<String, String?>()
 
     private fun routersListed(entries: List<StoredObject>) {
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/state/PromptQuarantineController.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/state/PromptQuarantineController.kt
@@ -14,6 +14,7 @@
 import dev.almondhaven.model.NanoClock
 import dev.almondhaven.platform.StoreCall
 import dev.almondhaven.platform.StoreChange
+import dev.almondhaven.platform.StoreKind
 import dev.almondhaven.platform.StoredObject
 import dev.almondhaven.traffic.PromptQuarantine
 import io.github.oshai.kotlinlogging.KotlinLogging
@@ -49,6 +50,7 @@
     /** Requests whose connections broke, by the endpoint that is being probed for a crash. */
     private val unconfirmed = HashMap<EndpointHandle, MutableList<CrashReport>>()
     private val stored = HashMap<String, PromptQuarantine>()
+    private val unreadable = UnreadableEntries(StoreKind.PROMPT_QUARANTINES)
 
     /** Called after a quarantine has begun. */
     var onQuarantine: () -> Unit = {}
@@ -280,11 +282,7 @@
         changes.forEach { if (it.removed || it.entry.removed) end(it.entry.name) else applyStored(it.entry) }
 
     private fun applyStored(entry: StoredObject) {
-        val quarantine = entry.asPromptQuarantine()
-        if (quarantine == null) {
-            LogEvent.STORE_ENTRY_UNREADABLE.log(logger) { "quarantine=${entry.name} revision=${entry.revision}" }
-            return
-        }
+        val quarantine = unreadable.read(entry, StoredObject::asPromptQuarantine) ?: return
         stored[entry.name] = quarantine
         applyQuarantine(quarantine.parts, (quarantine.untilMillis - wallClock()).milliseconds, "stored")
     }
