Read from a connection again when its response has ended

What callers saw: 504, or a retry, for a request on a connection that a slow caller's stream had used before, though the endpoint had run it.

Cause: reading pauses while the caller can't keep up. If the end of the stream is among the bytes that were read already, the connection went back to the pool paused; nothing read from it again, and its end was not seen either.

--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/net/OutboundConnection.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/net/OutboundConnection.kt
@@ -184,6 +184,7 @@
         val ended = listener ?: return
         listener = null
         idleSince = System.nanoTime()
+        setAutoRead(true)
         // If the response ended before the request was fully written, the rest of the body is still in transit.
         if (isReusable && requestWritten) isReleasePending = true else close()
         ended.onEnd()
--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/StutteringEndpointsTest.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/StutteringEndpointsTest.kt
@@ -119,7 +119,13 @@
     ) {
         println("seed=$seed endpoints=$endpointsPerService $disturbance")
         println("answers: ${outcomes.groupingBy { "${it.kind} ${it.answer?.status}" }.eachCount().toSortedMap()}")
-        println("origins: ${outcomes.groupingBy { "${it.kind} ${it.answer?.status} ${judge.originOf(it)}" }.eachCount().toSortedMap()}")
+        println(
+            "origins: ${outcomes.groupingBy {
+                "${it.kind} ${it.answer?.status} ${judge.originOf(
+                    it,
+                )}"
+            }.eachCount().toSortedMap()}",
+        )
         val classes = violations.groupingBy { "${it.rule} ${it.outcome.kind} ${it.origin} copy=${it.copyTime}" }
         println("violations: ${classes.eachCount().toSortedMap()}")
         violations.forEach { violation ->
