Object store client: one call a connection

Against an object store that speaks HTTP/1.1 and sends an answer twice, the router and the operator's commands took the second copy for the answer to the call after it: one object for another, and a refused conditional write for one that took effect.

Cause: the object API's answers name neither the object nor the call, and Armeria's HTTP/1.1 client takes what arrives on a pooled connection for the answer to the request in flight.

Each call now states "Connection: close", after which Armeria gives its connection no other request: the first answer on a connection is the call's own. It costs a connection for each call, also where the store speaks HTTP/2. That cost was not measured.

Store and router suites as a whole were not run.

--- a/store/src/main/kotlin/dev/almondhaven/store/HttpObjectStore.kt
+++ b/store/src/main/kotlin/dev/almondhaven/store/HttpObjectStore.kt
@@ -135,7 +135,7 @@
                     .responseTimeoutMillis(timeout.inWholeMilliseconds)
                     .build()
             client
-                .execute(HttpRequest.of(headers, bodyOf(body)), options)
+                .execute(HttpRequest.of(onOwnConnection(headers), bodyOf(body)), options)
                 .aggregate()
                 .join()
                 .right()
@@ -143,6 +143,10 @@
             errorOf(exception.cause ?: exception).left()
         }
 
+    /** An answer doesn't say which call it answers, so no connection carries a second call. */
+    private fun onOwnConnection(headers: RequestHeaders): RequestHeaders =
+        headers.toBuilder().set(HttpHeaderNames.CONNECTION, "close").build()
+
     private fun bodyOf(body: String) = HttpData.ofUtf8(body)
 
     private fun errorOf(cause: Throwable): PlatformError =
