Believe an answer without a request id only on a new connection

What callers could see: 503 "not run" for a request that the endpoint runs, or another request's failure (REFUSED, MIXED).

On a connection that has carried other requests it may be a late one to any of them.

Now such an answer counts as no answer: the attempt ends with an unknown outcome and the connection is closed. On a connection that carries its first request it can't belong to another one, and is taken as before.

UnsolicitedBytesTest, `a refusal without a request id on a connection in use again is no refusal of the next request`: on the code before, expected "HTTP/1.1 502 Bad Gateway", found "HTTP/1.1 503 Service Unavailable" for a request that ran; passes now.

--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Attempt.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Attempt.kt
@@ -174,11 +174,9 @@
             }
             return HeadAction.SKIP
         }
-        if (signals.requestId == null) {
-            LogEvent.ENDPOINT_ANSWER_BAD.log(logger) {
-                "request=${call.id} endpoint=${endpointState.listing.id} connection=${outbound?.sendNumber} " +
-                    "response without a request id, status=$status"
-            }
+        if (signals.requestId == null && outbound?.isConnectionReused == true) {
+            abandon("a response with status $status and without a request id")
+            return HeadAction.TAKE
         }
         context.placement.reachability.recordReached(endpointState.listing.failureDomain)
         signals.load?.let { endpointState.recordLoad(it, context.clock.nanos()) }
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/net/OutboundCall.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/net/OutboundCall.kt
@@ -12,9 +12,14 @@
     var sendNumber: String? = null
         private set
 
+    /** Whether the connection has carried other requests, whose late responses may still arrive. */
+    var isConnectionReused = false
+        private set
+
     fun attach(connection: OutboundConnection) {
         this.connection = connection
         sendNumber = connection.nextSendNumber
+        isConnectionReused = connection.hasCarriedRequests
     }
 
     /**
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/net/OutboundConnection.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/net/OutboundConnection.kt
@@ -48,6 +48,7 @@
 
     /** The number of this connection in the process and of the next request on it, which tell sends apart in logs. */
     val nextSendNumber: String get() = "$number/${sends + 1}"
+    val hasCarriedRequests: Boolean get() = sends > 0
 
     /** Bytes received since the last ones that belonged to a response to the request in flight. */
     private var unusedBytes = 0L
--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/UnsolicitedBytesTest.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/UnsolicitedBytesTest.kt
@@ -11,9 +11,13 @@
 /** Guards against bytes behind a response that spoil the next request on the connection. */
 class UnsolicitedBytesTest {
     private var bytesBehind = ""
+
+    /** What the endpoint sends before its second answer on a connection. */
+    private var bytesBefore = ""
     private var isLate = false
     private val endpoint =
         ScriptedEndpoint {
+            if (it.id == "r-2") it.write(bytesBefore)
             val answer = it.head("200 OK", WireSamples.answerHeaders(it.id) + ("Content-Length" to "5")) + "slate"
             if (isLate) {
                 it.write(answer)
@@ -66,6 +70,17 @@
         expectBothServed(callTwice())
     }
 
+    @Test
+    fun `a refusal without a request id on a connection in use again is no refusal of the next request`() {
+        bytesBefore =
+            "HTTP/1.1 503 Service Unavailable\r\n${WireSamples.notRun().first}: 1\r\nContent-Length: 0\r\n\r\n"
+        val responses = callTwice()
+
+        expectThat(responses.first()).startsWith("HTTP/1.1 200 OK")
+        expectThat(responses.last()).startsWith("HTTP/1.1 502 Bad Gateway")
+        expectThat(endpoint.requestHeads.map(WireSamples::requestId)).isEqualTo(listOf("r-1", "r-2"))
+    }
+
     @Test
     fun `a response to a HEAD request is complete without a body`() {
         val request = fixture.request("${WireSamples.UNARY_PATH}a", "r-1").replaceFirst("POST", "HEAD")
