Write no chunks to a HEAD request

What callers saw: "0" and an empty line in front of the answer to the next request on a connection whose HEAD request had been answered by a stream. CallerResponseOrderTest, `the response to a HEAD request has no body in front of the next response if it is a stream`, failed before (13:17): expected "HTTP/1.1 200 OK", found "0".

--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/net/CallerConnection.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/net/CallerConnection.kt
@@ -251,20 +251,29 @@
             headers: List<Pair<String, String>>,
         ) {
             if (activeWriter !== this) return
-            val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status))
+            val response = begunResponse(HttpResponseStatus.valueOf(status))
             prepare(response, headers)
-            response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
+            if (!isHeadRequest) response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
             context.writeAndFlush(response)
         }
 
+        /** The encoder doesn't know that a response to HEAD has no body; it has to get a whole one. */
+        private fun begunResponse(status: HttpResponseStatus): HttpResponse =
+            if (isHeadRequest) {
+                DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER)
+            } else {
+                DefaultHttpResponse(HttpVersion.HTTP_1_1, status)
+            }
+
         override fun write(bytes: ByteArray): Boolean {
-            if (activeWriter !== this) return true
+            if (activeWriter !== this || isHeadRequest) return true
             context.writeAndFlush(DefaultHttpContent(Unpooled.wrappedBuffer(bytes)))
             return context.channel().isWritable
         }
 
         override fun complete() {
-            if (activeWriter === this) finish(LastHttpContent.EMPTY_LAST_CONTENT)
+            if (activeWriter !== this) return
+            finish(if (isHeadRequest) Unpooled.EMPTY_BUFFER else LastHttpContent.EMPTY_LAST_CONTENT)
         }
 
         override fun abort() {
