Let tests end a gateway's calls and watches

Traced: a gateway that a test has stopped went on polling the port of its store, which the next test's endpoint may get. (The same once made a first form of LateSecondAnswerTest count two runs.) Gateway.close ends the event loop; GatewayFixture calls it, once. The daemon exits after stop and doesn't need it, so what routers do is unchanged.

--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/Gateway.kt
@@ -269,6 +269,11 @@
         LogEvent.ROUTER_STOPPED.log(logger) { "router=${settings.name} busy=${isBusy()}" }
     }
 
+    /** Ends all calls and watches after [stop]. A process that exits doesn't need it. */
+    fun close() {
+        group.shutdownGracefully(0, 0, TimeUnit.SECONDS).syncUninterruptibly()
+    }
+
     private fun isBusy(): Boolean = loop.submit<Boolean> { callerServer.isBusy }.get()
 
     companion object {
--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/GatewayFixture.kt
@@ -40,6 +40,7 @@
 
     @Volatile
     private var isStoreReleased = false
+    private var isClosed = false
 
     private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
     private val store = CallerServer(group, { CallerLimits.BEFORE_CONFIGURATION }, { false }, storeHandler())
@@ -141,7 +142,10 @@
     ): String = sendRaw(request(path, id, body, headers))
 
     override fun close() {
+        if (isClosed) return
+        isClosed = true
         gateway.stop()
+        gateway.close()
         endpoints.forEach { it.close() }
         group.shutdownGracefully(0, 0, TimeUnit.SECONDS)
     }
