--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/net/OutboundConnection.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/net/OutboundConnection.kt
@@ -37,7 +37,7 @@
     private var isReusable = true
 
     /** The listener of a response that has ended while bytes that arrived with it are still being read. */
-    private var ended: OutboundListener? = null
+    private var endedListener: OutboundListener? = null
 
     /** Whether a request is in flight whose response has not ended. */
     val isResponseDue: Boolean get() = listener != null
@@ -46,6 +46,7 @@
     var isHeadRequest = false
         private set
 
+    /** Tells the connections of this process apart in logs. */
     private val number = LAST_NUMBER.incrementAndGet()
     private var sends = 0
 
@@ -55,7 +56,7 @@
      */
     private val sentIds = HashSet<Int>()
 
-    /** The number of this connection in the process and of the next request on it, which tell sends apart in logs. */
+    /** The numbers of this connection and of the next request on it, which tell sends apart in logs. */
     val nextSendNumber: String get() = "$number/${sends + 1}"
     val hasCarriedRequests: Boolean get() = sends > 0
 
@@ -108,7 +109,7 @@
     /** Closes the connection, which cancels a request in flight; the listener is not called any more. */
     fun cancel() {
         listener = null
-        ended = null
+        endedListener = null
         close()
     }
 
@@ -190,8 +191,9 @@
         if (!wasDiscarded) complete()
     }
 
+    /** Ends the response. A connection that stays open is offered again when all bytes that were read are looked at. */
     private fun complete() {
-        ended = listener ?: return
+        endedListener = listener ?: return
         listener = null
         idleSince = System.nanoTime()
         setAutoRead(true)
@@ -203,15 +205,15 @@
 
     /** Offers the connection for reuse, unless a byte followed the response, and reports the end of the response. */
     override fun channelReadComplete(context: ChannelHandlerContext) {
-        val reported = ended ?: return
-        ended = null
+        val reported = endedListener ?: return
+        endedListener = null
         if (isOpen) onIdle(this)
         reported.onEnd()
     }
 
     private fun reportEnd() {
-        val reported = ended
-        ended = null
+        val reported = endedListener
+        endedListener = null
         reported?.onEnd()
     }
 
