Find watches that the store never received

Cause: a watch waits for up to 28 s, so its silence says nothing. Only the failure of another call made the router send its watches again, and a short silence touches no other call. Ruled out: a lost event (the next watch returns it), slow judgement of the router, the pause between two watches.

Change: each response to a watch of the configuration states the store's revision. A kind whose watch is behind it is asked for its changes by a call that doesn't wait, and its watch is replaced if there are any. The configuration's watch lasts at most 0.6 of the drain time, so that this happens within it. No call is added while the store's revision stands still. This is for all kinds: an evacuation or a roll-out order was as late.

ConfigurationWatcherTest's drain time is 4 s now in place of 2 s, so that its watches last 2 s as before; a new case holds the shorter one.

--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/Gateway.kt
@@ -52,8 +52,10 @@
     private val random = RandomSource.XO_RO_SHI_RO_128_PP.create()
     private val lifecycle = Lifecycle(clock)
     private val routing = RoutingState(settings.bounds, loop, clock)
+    private val kindWatchers = ArrayList<KindWatcher>()
     private val store = HttpStoreClient(loop, settings.storeAddress, clock)
-    private val configurationWatcher = ConfigurationWatcher(settings.bounds, store, loop, clock, ::configure)
+    private val configurationWatcher =
+        ConfigurationWatcher(settings.bounds, store, loop, clock, ::configure, ::catchUpTo)
     private val peers = PeerMessenger(group, settings.peerAddress, loop, clock, routing)
     private val rollOuts =
         RollOutController(settings.name, settings.bounds, store, loop, clock, random, peers, routing::routerCount)
@@ -134,9 +136,31 @@
             onList(entries)
             routing.markListed(kind)
         }
-        KindWatcher(kind, store, loop, random, batchDelayOf(kind), onLoaded, onChanges).start()
+        val watcher =
+            KindWatcher(
+                kind,
+                store,
+                loop,
+                random,
+                batchDelayOf(kind),
+                catchUpIntervalOf(kind),
+                onLoaded,
+                onChanges,
+            )
+        kindWatchers += watcher
+        watcher.start()
     }
 
+    private fun catchUpTo(storeRevision: Long): Unit = kindWatchers.forEach { it.catchUp(storeRevision) }
+
+    /** A leaving endpoint binds within the drain time, an operator's order within some seconds. */
+    private fun catchUpIntervalOf(kind: StoreKind): Duration =
+        when (kind) {
+            StoreKind.ENDPOINTS -> ENDPOINT_CATCH_UP_INTERVAL
+            StoreKind.EVACUATIONS, StoreKind.ROLL_OUTS -> ORDER_CATCH_UP_INTERVAL
+            else -> CATCH_UP_INTERVAL
+        }
+
     /** How long changes of one kind may wait, so that one call returns them together. */
     private fun batchDelayOf(kind: StoreKind): Duration =
         when (kind) {
@@ -288,6 +312,15 @@
 
         /** The set of routers that share the bounds changes only when routers start. */
         private val ROUTER_BATCH_DELAY = 2.seconds
+
+        /** Bounds the calls to a store that fails. */
+        private val ENDPOINT_CATCH_UP_INTERVAL = 250.milliseconds
+
+        /** Bounds the calls while endpoints change; with a lost watch, an order is still heard of within five seconds. */
+        private val ORDER_CATCH_UP_INTERVAL = 2_500.milliseconds
+
+        /** Routers and quarantines are also heard of from peers. */
+        private val CATCH_UP_INTERVAL = 10.seconds
         private val REGISTER_TIMEOUT = 1_000.milliseconds
         private val REGISTER_RETRY_DELAY = 1.seconds
 
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/state/ConfigurationWatcher.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/state/ConfigurationWatcher.kt
@@ -22,6 +22,8 @@
  * response confirms it only for the time at which its call was sent. A call that times out is followed by reads.
  * Requests with API keys are served only while the last confirmation is recent enough. Must be used on the event loop
  * only.
+ *
+ * @property onRevision called with the store's revision, which each response states.
  */
 internal class ConfigurationWatcher(
     bounds: TrafficBounds,
@@ -29,6 +31,7 @@
     private val loop: EventLoop,
     private val clock: NanoClock,
     private val onConfiguration: (StoredObject) -> Unit,
+    private val onRevision: (Long) -> Unit = {},
     private val wallMillis: () -> Long = System::currentTimeMillis,
 ) {
     private class Moment(
@@ -38,6 +41,7 @@
         fun plus(span: Duration) = Moment(steadyNanos + span.inWholeNanoseconds, wallMillis + span.inWholeMilliseconds)
     }
 
+    private val watchDuration = minOf(MAX_WATCH_DURATION, bounds.drain * DRAIN_SHARE)
     private val configurationAge = ConfigurationAge(bounds.revocation - REVOCATION_MARGIN)
     private var wasFresh = false
 
@@ -58,10 +62,11 @@
             page?.objects?.forEach(onConfiguration)
             if (hasConfiguration) confirm(sent)
             logFreshnessChange()
+            page?.let { onRevision(it.revision) }
             if (page == null || !hasConfiguration) {
                 schedule(RETRY_DELAY, ::read)
             } else {
-                watch(page.revision, WATCH_DURATION)
+                watch(page.revision, watchDuration)
             }
         }
     }
@@ -82,10 +87,11 @@
             val unchanged = changes.changed.isEmpty()
             confirm(if (unchanged && waitedInFull) sent.plus(wait - TIMER_TOLERANCE) else sent)
             logFreshnessChange()
+            onRevision(changes.revision)
             when {
                 !unchanged -> schedule(CHANGE_BATCH_DELAY) { watch(changes.revision, WATCH_DURATION_AFTER_CHANGE) }
-                waitedInFull -> watch(changes.revision, WATCH_DURATION)
-                else -> schedule(EARLY_END_DELAY) { watch(changes.revision, WATCH_DURATION) }
+                waitedInFull -> watch(changes.revision, watchDuration)
+                else -> schedule(EARLY_END_DELAY) { watch(changes.revision, watchDuration) }
             }
         }
     }
@@ -110,7 +116,13 @@
         const val OK = 200
 
         /** The last confirmation outlasts a lost watch and two failed reads after it. */
-        val WATCH_DURATION = 2.seconds
+        val MAX_WATCH_DURATION = 2.seconds
+
+        /**
+         * Share of the drain time after which the store's revision is known again, so that a lost watch of the
+         * endpoints is replaced within that time.
+         */
+        const val DRAIN_SHARE = 0.6
 
         /**
          * A watch that reports a change confirms less than one that ends without a change, so the next confirmation
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/state/KindWatcher.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/state/KindWatcher.kt
@@ -18,9 +18,11 @@
 
 /**
  * Follows one kind of objects: lists them, then watches from the list's revision. Lists again when the store no longer
- * has the history since then. Must be used on the event loop only.
+ * has the history since then. A watch that the store never received, or whose response was lost, looks like one that
+ * waits; [catchUp] tells them apart. Must be used on the event loop only.
  *
  * @property batchDelay pause after a change, so that the next watch returns the changes that follow it together.
+ * @property catchUpInterval minimum time between two calls that check whether the watch in flight is lost.
  * @property onList called with a complete list.
  * @property onChanges called with the changes since the list or the previous changes.
  */
@@ -30,6 +32,7 @@
     private val loop: EventLoop,
     private val random: UniformRandomProvider,
     private val batchDelay: Duration,
+    private val catchUpInterval: Duration,
     private val onList: (List<StoredObject>) -> Unit,
     private val onChanges: (List<StoreChange>) -> Unit,
 ) {
@@ -37,6 +40,13 @@
     private var failures = 0
     private var watchedRevision = 0L
 
+    /** Revision of the store up to which all changes of this kind are known. */
+    private var knownRevision = 0L
+
+    /** Newest revision that the store is known to have reached. */
+    private var storeRevision = 0L
+    private var isCatchUpDeferred = false
+
     /** Cancels the watch in flight; null if there is none. */
     private var cancelWatch: (() -> Unit)? = null
 
@@ -55,6 +65,45 @@
         watch(watchedRevision)
     }
 
+    /**
+     * Tells that the store has reached [revision]. If this kind is behind it although a watch is in flight, a call that
+     * doesn't wait returns the changes that the watch should have returned.
+     */
+    fun catchUp(revision: Long) {
+        storeRevision = maxOf(storeRevision, revision)
+        if (storeRevision <= knownRevision || isCatchUpDeferred || cancelWatch == null) return
+        isCatchUpDeferred = true
+        val since = watchedRevision
+        store.call(StoreCall.watch(kind, since, Duration.ZERO), CALL_TIMEOUT) { response ->
+            onCatchUpResponse(since, response)
+            loop.schedule(::endCatchUpInterval, catchUpInterval.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+        }
+    }
+
+    private fun onCatchUpResponse(
+        since: Long,
+        response: StoreResponse?,
+    ) {
+        val cancel = cancelWatch
+        if (cancel == null || since != watchedRevision) return
+        val changes = response?.takeIf { it.status == OK }?.let { StoreCall.changes(it.body) }
+        val isBehind = response?.status == StoreCall.REVISION_EXPIRED || changes?.changed?.isNotEmpty() == true
+        if (!isBehind) {
+            // A call that failed proves nothing; it is repeated once the store's revision is heard of again.
+            if (changes != null) knownRevision = maxOf(knownRevision, changes.revision)
+            return
+        }
+        LogEvent.STORE_WATCH_REPLACED.log(logger) { "kind=$kind revision=$since store=$storeRevision" }
+        cancel()
+        cancelWatch = null
+        onWatchResponse(since, response)
+    }
+
+    private fun endCatchUpInterval() {
+        isCatchUpDeferred = false
+        catchUp(storeRevision)
+    }
+
     private fun list(
         after: String?,
         found: List<StoredObject>,
@@ -66,6 +115,7 @@
             val all = found + page.objects
             if (page.next != null) return@call list(page.next, all)
             apply { onList(all) }
+            knownRevision = page.revision
             watch(page.revision)
         }
     }
@@ -94,6 +144,7 @@
         val changes = response?.takeIf { it.status == OK }?.let { StoreCall.changes(it.body) }
         if (changes == null) return retry(response) { watch(revision) }
         failures = 0
+        knownRevision = changes.revision
         if (changes.changed.isNotEmpty()) apply { onChanges(changes.changed) }
         // Changes arrive in bursts; after a short pause one call returns the rest of a burst.
         loop.schedule({ watch(changes.revision) }, batchDelay.inWholeMilliseconds, TimeUnit.MILLISECONDS)
--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/GatewayFixture.kt
@@ -38,6 +38,14 @@
     /** Responses to the next watches of the endpoints. */
     val endpointChanges = ConcurrentLinkedQueue<String>()
 
+    /** Revision that the store states; null for the one of the samples. */
+    @Volatile
+    var storeRevision: Long? = null
+
+    /** Whether the store receives no call that watches the endpoints. */
+    @Volatile
+    var losesEndpointWatches = false
+
     @Volatile
     private var isStoreReleased = false
     private var isClosed = false
@@ -86,8 +94,9 @@
     private fun storeHandler() =
         RequestHandler { request: CallerRequest, writer ->
             val isEndpointWatch = request.target.startsWith("${WireSamples.ENDPOINTS_PATH}?")
-            val changes = if (isEndpointWatch) endpointChanges.poll() else null
-            val body =
+            val isLost = losesEndpointWatches && isEndpointWatch && !request.target.endsWith(WITHOUT_WAIT)
+            val changes = if (isEndpointWatch && !isLost) endpointChanges.poll() else null
+            val sample =
                 changes
                     ?: WireSamples.storeBody(
                         request.path,
@@ -95,8 +104,13 @@
                         evacuatedDomain,
                         otherEntries,
                     )
+            val body = storeRevision?.let { sample.replace(SAMPLE_REVISION, "\"currentRev\":$it}") } ?: sample
             val respond = { writer.respond(OK, listOf("Content-Type" to "application/json"), body.toByteArray()) }
-            if (request.path == heldPath && !isStoreReleased) heldResponses += respond else respond()
+            when {
+                isLost -> Unit
+                request.path == heldPath && !isStoreReleased -> heldResponses += respond
+                else -> respond()
+            }
             object : InFlightRequest {
                 override fun onCallerDisconnected() = Unit
 
@@ -152,6 +166,10 @@
 
     private companion object {
         const val OK = 200
+
+        /** End of a watch that returns at once. */
+        const val WITHOUT_WAIT = "&waitMs=0"
+        val SAMPLE_REVISION = Regex(""""currentRev":\d+\}$""")
         const val MAX_READY_CHECKS = 200
         const val READY_CHECK_INTERVAL_MILLIS = 20L
     }
--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/state/ConfigurationWatcherTest.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/state/ConfigurationWatcherTest.kt
@@ -8,6 +8,7 @@
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
 import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -15,14 +16,18 @@
     private val channel = EmbeddedChannel()
     private val store = ScriptedStoreClient()
     private val seen = ArrayList<Long>()
+    private val revisions = ArrayList<Long>()
     private var millis = 0L
-    private val watcher =
+    private val watcher = watcher(drain = 4.seconds)
+
+    private fun watcher(drain: Duration) =
         ConfigurationWatcher(
-            TrafficBounds(8.seconds, 2.seconds, revocation = 5.seconds, 0.9, 50.0, 10.seconds, 5.seconds),
+            TrafficBounds(8.seconds, drain, revocation = 5.seconds, 0.9, 50.0, 10.seconds, 5.seconds),
             store,
             channel.eventLoop(),
             NanoClock { millis * 1_000_000 },
             { seen += it.revision },
+            { revisions += it },
             { millis },
         )
 
@@ -134,6 +139,30 @@
         }
     }
 
+    @Nested
+    inner class `the store's revision` {
+        /** Guards against DRAIN after a lost watch of the endpoints: their changes were heard of after 29.5 s. */
+        @Test
+        fun `is reported by each response`() {
+            startAndList()
+            advance(2_010)
+            respond(unchanged(8))
+            advance(1_000)
+            respond(change(9))
+
+            expectThat(revisions.toList()).isEqualTo(listOf(7L, 8L, 9L))
+        }
+
+        @Test
+        fun `is asked for again well within the drain time`() {
+            watcher(drain = 2.seconds).start()
+            advance(10)
+            respond(list(7))
+
+            expectThat(store.calls.last().path).isEqualTo("/objects/config?watch=7&waitMs=1200")
+        }
+    }
+
     @Nested
     inner class `a store without a configuration` {
         @Test
--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/state/KindWatcherTest.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/state/KindWatcherTest.kt
@@ -18,7 +18,16 @@
     private val seen = ArrayList<String>()
     private val random = RandomSource.SPLIT_MIX_64.create(1L)
     private val watcher =
-        KindWatcher(StoreKind.EVACUATIONS, store, channel.eventLoop(), random, 150.milliseconds, ::onList, ::onChanges)
+        KindWatcher(
+            StoreKind.EVACUATIONS,
+            store,
+            channel.eventLoop(),
+            random,
+            batchDelay = 150.milliseconds,
+            catchUpInterval = 1_000.milliseconds,
+            ::onList,
+            ::onChanges,
+        )
 
     private fun onList(entries: List<StoredObject>) {
         check(entries.none { it.name == "refused" }) { "refused" }
@@ -123,4 +132,90 @@
             expectThat(store.calls.last().path).isEqualTo("/objects/evacuations?watch=7&waitMs=28000")
         }
     }
+
+    /** Guards against DRAIN and EVAC: a watch that was sent into a silence of the store hung for 29.5 s. */
+    @Nested
+    inner class `a watch that the store may never have received` {
+        private val check = "/objects/evacuations?watch=7&waitMs=0"
+        private val change = """{"events":[{"removed":false,"object":${stored("west")}}],"currentRev":9}"""
+
+        private fun unchanged(revision: Long) = """{"events":[],"currentRev":$revision}"""
+
+        private fun paths() = store.calls.drop(2).map { it.path }
+
+        private fun startAndHearOf(revision: Long) {
+            watcher.start()
+            respond(0, list)
+            watcher.catchUp(revision)
+        }
+
+        @Test
+        fun `is checked when the store is further on, and replaced if it has missed a change`() {
+            startAndHearOf(9)
+            respond(2, change)
+            advance(200)
+
+            expectThat(paths()).isEqualTo(listOf(check, "/objects/evacuations?watch=9&waitMs=28000"))
+            expectThat(store.calls[1].isCancelled).isEqualTo(true)
+            expectThat(seen.toList()).isEqualTo(listOf("list east", "change west removed=false"))
+        }
+
+        @Test
+        fun `is kept if the change was of another kind, and not checked again for it`() {
+            startAndHearOf(9)
+            respond(2, unchanged(9))
+            advance(1_200)
+            watcher.catchUp(9)
+
+            expectThat(paths()).isEqualTo(listOf(check))
+            expectThat(store.calls[1].isCancelled).isEqualTo(false)
+        }
+
+        @Test
+        fun `is not checked while the store is no further on`() {
+            startAndHearOf(7)
+
+            expectThat(paths()).isEqualTo(emptyList())
+        }
+
+        @Test
+        fun `is checked again after the interval if the store went on meanwhile`() {
+            startAndHearOf(9)
+            respond(2, unchanged(9))
+            watcher.catchUp(10)
+            expectThat(paths()).isEqualTo(listOf(check))
+            advance(1_200)
+
+            expectThat(paths()).isEqualTo(listOf(check, check))
+        }
+
+        @Test
+        fun `is checked again if the check is lost too`() {
+            startAndHearOf(9)
+            store.calls[2].onResponse(null)
+            advance(1_200)
+
+            expectThat(paths()).isEqualTo(listOf(check, check))
+        }
+
+        @Test
+        fun `is replaced by a list if its history is gone`() {
+            startAndHearOf(9)
+            respond(2, "{}", status = 410)
+
+            expectThat(paths()).isEqualTo(listOf(check, "/objects/evacuations"))
+            expectThat(store.calls[1].isCancelled).isEqualTo(true)
+        }
+
+        @Test
+        fun `applies a change once if it responds before the check does`() {
+            startAndHearOf(9)
+            respond(1, change)
+            respond(2, change)
+            advance(200)
+
+            expectThat(seen.toList()).isEqualTo(listOf("list east", "change west removed=false"))
+            expectThat(paths()).isEqualTo(listOf(check, "/objects/evacuations?watch=9&waitMs=28000"))
+        }
+    }
 }
--- a/model/src/main/kotlin/dev/almondhaven/model/LogEvent.kt
+++ b/model/src/main/kotlin/dev/almondhaven/model/LogEvent.kt
@@ -139,6 +139,7 @@
         Level.WARN,
         "The last confirmation of the configuration is too old; requests with API keys are rejected.",
     ),
+    STORE_WATCH_REPLACED(6108, Level.INFO, "A watch had not returned changes that the store had; a new one follows."),
     TRAFFIC_CONFIGURED(6201, Level.INFO, "A configuration of routes, services and API keys took effect."),
     ENDPOINT_LISTED(6202, Level.INFO, "An endpoint's entry was added or changed."),
     ENDPOINT_UNLISTED(6203, Level.INFO, "An endpoint's entry was removed."),
