Don't take a watch that was cut off for an outage of the store

Cause: HttpStoreClient counted any call without an answer as a failure of the store, a waiting watch too, and the next answer as its recovery. Entries that are missing after a recovery are kept for 2.2 s, since they may have lapsed in the outage. Ruled out: hearing late of the removal; requests placed before it.

Change: a watch that gets no answer, cut off or timed out, tells nothing of the store now. Calls that it should answer at once, connections that it doesn't take, and refusals do; the router reads the configuration right after a watch of it has failed, so an outage is found as soon as before.

Tests, failing before: HttpStoreClientTest, "a recovery of the store" (2 of 3; the third holds that real failures count), LostWatchTest, "when the watch has been cut off".

--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/state/HttpStoreClient.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/state/HttpStoreClient.kt
@@ -18,7 +18,10 @@
 
 private val logger = KotlinLogging.logger {}
 
-/** Calls the platform's store over HTTP. Must be used on the event loop only. */
+/**
+ * Calls the platform's store over HTTP. A watch that gets no response doesn't count as a failure of the store: it may be
+ * cut off while it waits, and its timeout tells of a moment long past. Must be used on the event loop only.
+ */
 internal class HttpStoreClient(
     private val loop: EventLoop,
     address: String,
@@ -106,7 +109,7 @@
             reason: String,
         ) {
             LogEvent.STORE_CALL_FAILED.log(logger) { "call=${call.method} path=${call.path} sent=$sent reason=$reason" }
-            recordReachability(reached = false)
+            if (!sent || !call.isWatch) recordReachability(reached = false)
             settle(null)
         }
 
--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/GatewayFixture.kt
@@ -46,6 +46,10 @@
     @Volatile
     var losesEndpointWatches = false
 
+    /** Whether the store cuts off the next watch of the endpoints. */
+    @Volatile
+    var cutsEndpointWatch = false
+
     @Volatile
     private var isStoreReleased = false
     private var isClosed = false
@@ -95,7 +99,7 @@
         RequestHandler { request: CallerRequest, writer ->
             val isEndpointWatch = request.target.startsWith("${WireSamples.ENDPOINTS_PATH}?")
             val isLost = losesEndpointWatches && isEndpointWatch && !request.target.endsWith(WITHOUT_WAIT)
-            val changes = if (isEndpointWatch && !isLost) endpointChanges.poll() else null
+            val changes = if (isEndpointWatch && !isLost && !cutsEndpointWatch) endpointChanges.poll() else null
             val sample =
                 changes
                     ?: WireSamples.storeBody(
@@ -106,7 +110,10 @@
                     )
             val body = storeRevision?.let { sample.replace(SAMPLE_REVISION, "\"currentRev\":$it}") } ?: sample
             val respond = { writer.respond(OK, listOf("Content-Type" to "application/json"), body.toByteArray()) }
+            val isCut = isEndpointWatch && cutsEndpointWatch
+            if (isCut) cutsEndpointWatch = false
             when {
+                isCut -> writer.abort()
                 isLost -> Unit
                 request.path == heldPath && !isStoreReleased -> heldResponses += respond
                 else -> respond()
--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/LostWatchTest.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/LostWatchTest.kt
@@ -8,18 +8,33 @@
 import strikt.assertions.startsWith
 import java.util.concurrent.TimeUnit
 
-/** Guards against DRAIN: a router whose watch of the endpoints was lost went on sending to those that had left. */
+/** Guards against DRAIN: a router went on sending to endpoints that had left after their watch was lost or cut off. */
 class LostWatchTest {
     @Test
     fun `an endpoint that leaves while the watch is lost gets no request after the drain time`() {
+        checkLeaving { fixture ->
+            fixture.losesEndpointWatches = true
+            TimeUnit.MILLISECONDS.sleep(WATCH_SENT_MILLIS)
+        }
+    }
+
+    @Test
+    fun `an endpoint that leaves when the watch has been cut off gets no request after the drain time`() {
+        checkLeaving { fixture ->
+            fixture.cutsEndpointWatch = true
+            while (fixture.cutsEndpointWatch) TimeUnit.MILLISECONDS.sleep(1)
+        }
+    }
+
+    /** The endpoint that gets the requests leaves after [trouble]. */
+    private fun checkLeaving(trouble: (GatewayFixture) -> Unit) {
         val endpoints = List(2) { ScriptedEndpoint { it.respond("") } }
         val fixture = GatewayFixture(endpoints)
         try {
             fixture.call(PATH, "r-0")
             // Requests with an equal prompt go to the endpoint that has it in its cache.
             val preferred = endpoints.indexOfFirst { it.requestHeads.isNotEmpty() }
-            fixture.losesEndpointWatches = true
-            TimeUnit.MILLISECONDS.sleep(WATCH_SENT_MILLIS)
+            trouble(fixture)
             fixture.endpointChanges += WireSamples.endpointChanges(emptyList(), removed = listOf("i-$preferred"))
             fixture.storeRevision = NEXT_REVISION
             TimeUnit.MILLISECONDS.sleep(DRAIN_MILLIS)
--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/state/HttpStoreClientTest.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/state/HttpStoreClientTest.kt
@@ -17,6 +17,7 @@
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThanOrEqualTo
+import strikt.assertions.isNotNull
 import strikt.assertions.isNull
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
@@ -148,6 +149,65 @@
         }
     }
 
+    /** Guards against DRAIN: after a cut watch, endpoints that had left were kept as if their entries had lapsed. */
+    @Nested
+    inner class `a recovery of the store` {
+        private val cutOff = { request: ScriptedEndpoint.ReceivedRequest -> request.socket.close() }
+
+        @Test
+        fun `is not what follows a watch that was cut off while it waited`() {
+            val client =
+                clientOf { call, request ->
+                    if (call ==
+                        0
+                    ) {
+                        cutOff(request)
+                    } else {
+                        request.write(answer(SERVERS))
+                    }
+                }
+
+            expectThat(client.ask(WATCH_SERVERS)).isNull()
+            expectThat(namesIn(client.ask(LIST_SERVERS))).isEqualTo(listOf("i-1"))
+            expectThat(onLoop { client.recoveredAt }).isNull()
+        }
+
+        @Test
+        fun `is not what follows a watch that was never answered`() {
+            val client = clientOf { call, request -> if (call > 0) request.write(answer(SERVERS)) }
+
+            expectThat(client.ask(WATCH_SERVERS, SHORT_TIMEOUT)).isNull()
+            expectThat(namesIn(client.ask(LIST_SERVERS))).isEqualTo(listOf("i-1"))
+            expectThat(onLoop { client.recoveredAt }).isNull()
+        }
+
+        @Test
+        fun `follows a call that was cut off, and one that was refused, watch or not`() {
+            val failures =
+                listOf<Pair<StoreCall, (ScriptedEndpoint.ReceivedRequest) -> Unit>>(
+                    LIST_SERVERS to cutOff,
+                    LIST_SERVERS to { it.write(answer("", "503 Service Unavailable")) },
+                    WATCH_SERVERS to { it.write(answer("", "503 Service Unavailable")) },
+                )
+            failures.forEach { (failing, failure) ->
+                val client =
+                    clientOf { call, request ->
+                        if (call ==
+                            0
+                        ) {
+                            failure(request)
+                        } else {
+                            request.write(answer(SERVERS))
+                        }
+                    }
+                expectThat(client.ask(failing)).isNull()
+                client.ask(LIST_SERVERS)
+                expectThat(onLoop { client.recoveredAt }).isNotNull()
+                store?.close()
+            }
+        }
+    }
+
     @Nested
     inner class `the proof that the configuration is recent` {
         @Tag("known-red")
@@ -215,6 +275,7 @@
         const val SHORT_WATCH_MILLIS = 600L
         val LIST_EVACUATIONS = StoreCall.list(StoreKind.EVACUATIONS, after = null)
         val LIST_SERVERS = StoreCall.list(StoreKind.ENDPOINTS, after = null)
+        val WATCH_SERVERS = StoreCall.watch(StoreKind.ENDPOINTS, revision = 5, wait = 28.seconds)
         val ROLL_BACK =
             StoreCall.setState(
                 RollOutOrder(
