Run a stream that may run only once on one model

Cause: the change to a larger model looked at the attempts that are left and at the retry budget, not at whether the request may run again; an answer that is discarded has run. Evidence: 82 of 82 streams ran on m0 and then on m2, none on the resumable route was affected by the rule. Ruled out: retries after failures (none failed, and canAttempt refuses those).

Change: such a request keeps its first answer. As that one has to stand, the largest model that is expected to begin within the latency objective is asked.

Tests, failing before: GatewayPathTest, "that may run only once runs once" (models m0, m1 in place of m1). ModelCascadeTest for the choice.

--- a/decision/src/main/kotlin/dev/almondhaven/decision/traffic/ModelCascade.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/traffic/ModelCascade.kt
@@ -41,6 +41,17 @@
         }
     }
 
+    /**
+     * The one of [models], ordered by size, to ask if its answer has to stand, because the request may run only once:
+     * the largest one that can begin within [objectiveMillis], or else the smallest.
+     */
+    public fun onlyModel(
+        models: List<String>,
+        objectiveMillis: Long,
+        expectedFirstTokenMillis: (String) -> Double,
+    ): String =
+        models.lastOrNull { expectedFirstTokenMillis(it) < objectiveMillis * RELIABLE_FRACTION } ?: models.first()
+
     /** The model to ask in place of [model], whose answer has this [confidence]; null to keep the answer. */
     public fun escalationTarget(
         models: List<String>,
--- a/decision/src/test/kotlin/dev/almondhaven/decision/traffic/ModelCascadeTest.kt
+++ b/decision/src/test/kotlin/dev/almondhaven/decision/traffic/ModelCascadeTest.kt
@@ -41,6 +41,20 @@
         }
     }
 
+    @Nested
+    inner class `the only model of a request that may run once` {
+        private fun onlyModel(largeMillis: Double) =
+            cascade.onlyModel(models, objectiveMillis = 1_000) {
+                mapOf("large" to 1.0, "middle" to 0.5, "small" to 0.1).getValue(it) * largeMillis
+            }
+
+        @Test
+        fun `is the largest that is in time, or else the small one`() {
+            expectThat(listOf(100.0, 949.0, 951.0, 1_899.0, 1_901.0, 20_000.0).map(::onlyModel))
+                .isEqualTo(listOf("large", "large", "middle", "middle", "small", "small"))
+        }
+    }
+
     @Nested
     inner class `an answer of the small model` {
         @Test
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Exchange.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Exchange.kt
@@ -68,18 +68,20 @@
 
     fun start() {
         val routerChoosesModel = call.route.models.isNotEmpty() && call.demand.model == RequestMetadata.ANY_MODEL
-        if (routerChoosesModel) {
-            model =
-                context.cascade.firstModel(
-                    call.route.models,
-                    call.route.latencyObjective.inWholeMilliseconds,
-                    ::expectedMillis,
-                )
-        }
+        if (routerChoosesModel) model = chooseFirstModel()
         timeout = context.loop.schedule(::onTimeout, remainingTime().inWholeMilliseconds, TimeUnit.MILLISECONDS)
         dispatch()
     }
 
+    private fun chooseFirstModel(): String {
+        val objectiveMillis = call.route.latencyObjective.inWholeMilliseconds
+        return if (call.route.isRetryable) {
+            context.cascade.firstModel(call.route.models, objectiveMillis, ::expectedMillis)
+        } else {
+            context.cascade.onlyModel(call.route.models, objectiveMillis, ::expectedMillis)
+        }
+    }
+
     private fun dispatch() {
         placementRetry = null
         if (isFinished) return
@@ -144,7 +146,7 @@
 
     /**
      * Returns the larger model to escalate to from an answer that begins with [confidence], and takes a retry from the
-     * budget for it; null to keep the answer.
+     * budget for it; null to keep the answer. A request that may run only once keeps it: a discarded run is a run.
      */
     fun chooseLargerModel(
         attempt: Attempt,
@@ -153,7 +155,7 @@
         val currentModel = attempt.model ?: return null
         val conditions = escalationConditions()
         backlogMillis = conditions.prefillBacklogMillis.toInt()
-        if (responseStarted || executions + 2 > call.route.maxAttempts) return null
+        if (!call.route.isRetryable || responseStarted || executions + 2 > call.route.maxAttempts) return null
         val larger =
             context.cascade.escalationTarget(call.route.models, currentModel, confidence, conditions) ?: return null
         return larger.takeIf { spendRetry(ESCALATION_BUDGET_SHARE) }
--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/GatewayPathTest.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/GatewayPathTest.kt
@@ -280,6 +280,18 @@
             expectThat(endpoints.flatMap { it.requestHeads }.map(WireSamples::model)).isEqualTo(listOf("m0", "m1"))
         }
 
+        /** Guards against TWICE: streams that may not be resumed were sent to a larger model after a first run. */
+        @Test
+        fun `that may run only once runs once, on the largest model in time, whatever its confidence`() {
+            val (fixture, endpoints) =
+                start({
+                    it.begin(confidence = 10)
+                    it.write(chunk(events(1..2)) + "0\r\n\r\n")
+                })
+            expectThat(decodeChunks(fixture.call("${WireSamples.SINGLE_STREAM_PATH}a", "r-1"))).isEqualTo(events(1..2))
+            expectThat(endpoints.flatMap { it.requestHeads }.map(WireSamples::model)).isEqualTo(listOf("m1"))
+        }
+
         @Test
         fun `of low confidence that no larger model replaces is not reported as not executed`() {
             val (fixture, _) =
