Count unfinished events among the bytes held of all responses

From a report of another operator: a faulty server sent bytes without end, and the machine that had called it kept them all. Here heads and bodies were bounded, in all by a quarter of the heap; an unfinished event only for each connection, by 1 MiB.

Cause: the limit on what all responses together may hold was asked for bodies only. Change: HeldBytes counts both, without the first 16 KiB of each response, so that ordinary ones are held while others use up the limit.

--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/Gateway.kt
@@ -2,6 +2,7 @@
 
 import dev.almondhaven.decision.traffic.EndpointPlacement
 import dev.almondhaven.decision.traffic.ModelCascade
+import dev.almondhaven.gateway.call.BufferedBytes
 import dev.almondhaven.gateway.call.CallContext
 import dev.almondhaven.gateway.call.CallHandler
 import dev.almondhaven.gateway.call.Watchdog
@@ -45,6 +46,7 @@
 internal class Gateway private constructor(
     private val settings: NodeSettings,
     private val listener: ServerSocketChannel?,
+    bufferedBytes: BufferedBytes,
 ) {
     private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
     private val loop = group.next()
@@ -84,6 +86,7 @@
             loop,
             clock,
             random,
+            bufferedBytes,
         )
     private val callerServer = CallerServer(group, routing::limits, lifecycle::isStopping, CallHandler(context))
     private val readinessServer = CallerServer(group, routing::limits, { false }, ReadinessHandler(::isReady))
@@ -335,6 +338,7 @@
         fun start(
             settings: NodeSettings,
             listener: ServerSocketChannel? = null,
-        ): Gateway = Gateway(settings, listener).also { it.start() }
+            bufferedBytes: BufferedBytes = BufferedBytes.ofHeap(),
+        ): Gateway = Gateway(settings, listener, bufferedBytes).also { it.start() }
     }
 }
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Attempt.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Attempt.kt
@@ -71,6 +71,7 @@
     private val isSuspect = exchange.isSuspect
     private val splitter = EventSplitter()
     private val bufferedBody = ByteArrayOutputStream()
+    private val held = HeldBytes(context.bufferedBytes)
     private var discardedBytes = 0
     private var status = 0
     private var signature: String? = null
@@ -313,12 +314,14 @@
         if (events.isNotEmpty() && eventCount == 0) context.promptQuarantine.recordAnswer(call.demand.sharedParts)
         eventCount += events.size
         newEventCount += events.count(exchange::onEvent)
-        if (stage == Stage.EVENTS && splitter.isOversized) abandon("an event without end")
+        if (stage != Stage.EVENTS) return
+        if (splitter.isOversized || !held.tryResize(splitter.partialBytes)) abandon("an event without end")
     }
 
     private fun buffer(chunk: ByteArray) {
         lastEventAt = context.clock.nanos()
-        val fits = bufferedBody.size() + chunk.size <= MAX_BUFFERED_BYTES && context.bufferedBytes.tryHold(chunk.size)
+        val size = bufferedBody.size() + chunk.size
+        val fits = size <= MAX_BUFFERED_BYTES && held.tryResize(size)
         if (fits) bufferedBody.write(chunk) else abandon("too large to hold")
     }
 
@@ -430,7 +433,7 @@
         if (stage == Stage.SETTLED) return
         stage = Stage.SETTLED
         context.watchdog.release(this)
-        context.bufferedBytes.release(bufferedBody.size())
+        held.release()
         endPrefill()
         endpointState.recordEnd(context.clock.nanos())
         if (isSuspect) endpoint.suspectsInFlight--
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/call/BufferedBytes.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/call/BufferedBytes.kt
@@ -5,7 +5,7 @@
  * use up its memory. Must be used on the event loop only.
  */
 internal class BufferedBytes(
-    private val limit: Long,
+    val limit: Long,
 ) {
     /** Bytes that are held now. */
     var held = 0L
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/call/CallContext.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/call/CallContext.kt
@@ -26,5 +26,5 @@
     val loop: EventLoop,
     val clock: NanoClock,
     val random: UniformRandomProvider,
-    val bufferedBytes: BufferedBytes = BufferedBytes.ofHeap(),
+    val bufferedBytes: BufferedBytes,
 )
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/call/EventSplitter.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/call/EventSplitter.kt
@@ -12,6 +12,9 @@
     private var lineBytes = 0
     private var lastByte: Byte = 0
 
+    /** Size of the incomplete event. */
+    val partialBytes: Int get() = buffer.size()
+
     /** Whether the buffer holds the beginning of an incomplete event. */
     val hasPartialEvent: Boolean get() = buffer.size() > 0
 
--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/GatewayFixture.kt
@@ -1,5 +1,6 @@
 package dev.almondhaven.gateway
 
+import dev.almondhaven.gateway.call.BufferedBytes
 import dev.almondhaven.gateway.net.CallerRequest
 import dev.almondhaven.gateway.net.CallerServer
 import dev.almondhaven.gateway.net.InFlightRequest
@@ -25,6 +26,7 @@
  * @param heldPath path of the store's objects that it doesn't return until [releaseStore].
  * @param evacuatedDomain failure domain that the store lists as evacuated; null for none.
  * @param otherEntries entries of other writers that the store lists among those of the endpoints.
+ * @param heldBytes bytes of incomplete responses that the gateway may hold in all.
  */
 internal class GatewayFixture(
     private val endpoints: List<ScriptedEndpoint>,
@@ -32,6 +34,7 @@
     private val heldPath: String? = null,
     private val evacuatedDomain: String? = null,
     private val otherEntries: List<String> = emptyList(),
+    heldBytes: Long = BufferedBytes.ofHeap().limit,
 ) : AutoCloseable {
     private val heldResponses = ConcurrentLinkedQueue<() -> Unit>()
 
@@ -71,6 +74,7 @@
                 "127.0.0.1:0",
                 bounds,
             ),
+            bufferedBytes = BufferedBytes(heldBytes),
         )
 
     init {
--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/GatewayPathTest.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/GatewayPathTest.kt
@@ -449,6 +449,38 @@
         }
     }
 
+    /** Guards against a router that runs out of memory: unfinished events of many streams were held beside the limit. */
+    @Nested
+    inner class `an unfinished event` {
+        /** Whether the router ends a stream whose event has reached [bytes], while responses may hold [LIMIT_BYTES]. */
+        private fun isCutOff(bytes: Int): Boolean {
+            val ended = CountDownLatch(1)
+            val endpoint =
+                ScriptedEndpoint {
+                    if (it.id == "ready") return@ScriptedEndpoint it.respond("")
+                    it.write(it.head("200 OK", WireSamples.answerHeaders(it.id, confidence = 90)) + "data: ")
+                    it.write("x".repeat(bytes))
+                    if (it.socket.getInputStream().read() < 0) ended.countDown()
+                }
+            val started = GatewayFixture(listOf(endpoint), allowsRetries = false, heldBytes = LIMIT_BYTES)
+            fixture = started
+            started.connect().use { socket ->
+                socket.getOutputStream().write(started.request(streamPath, "r-1").toByteArray())
+                return ended.await(CUT_MILLIS, TimeUnit.MILLISECONDS)
+            }
+        }
+
+        @Test
+        fun `counts among the bytes that the router may hold of all responses`() {
+            expectThat(isCutOff(bytes = 300_000)).isEqualTo(true)
+        }
+
+        @Test
+        fun `of usual size is held even if that is used up`() {
+            expectThat(isCutOff(bytes = 15_000)).isEqualTo(false)
+        }
+    }
+
     @Nested
     inner class `a rejected request` {
         @Test
@@ -495,6 +527,11 @@
         /** A first request and a probe for each of two endpoints. */
         const val MAX_MISDIRECTED = 4
 
+        const val LIMIT_BYTES = 1L
+
+        /** Shorter than the route's timeout. */
+        const val CUT_MILLIS = 1_000L
+
         /** 64 MiB, more than the router may hold of all responses together. */
         const val MAX_ENDLESS_BYTES = 67_108_864
     }
