Answer what is in work when the grace period of a stop ends

From a report of another operator: in a planned stop, requests that came late in the grace were taken and passed on, and cut with no answer at its end, among them requests that may not be repeated (LOST).

Here a stopping router took requests for a fixed 3 s, whatever the grace period, and ended with its connections when the grace period did. With a short grace period requests were taken until the end; with the deployments' 8 s those that last longer than 4.7 s were cut, and one that was sent at the edge of the 3 s could be among them.

Change: requests are taken for 2.8 s, and for half of the grace period at most; the load balancer has seen two failing checks by then. Shortly before the end each request that is left gets its final response: 503 if it has not run, 502 if it may have, and a stream that has begun is visibly broken off.

--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/Gateway.kt
@@ -52,7 +52,7 @@
     private val loop = group.next()
     private val clock = NanoClock.SYSTEM
     private val random = RandomSource.XO_RO_SHI_RO_128_PP.create()
-    private val lifecycle = Lifecycle(clock)
+    private val lifecycle = Lifecycle(clock, settings.bounds.shutdownGracePeriod)
     private val routing = RoutingState(settings.bounds, loop, clock)
     private val kindWatchers = ArrayList<KindWatcher>()
     private val store = HttpStoreClient(loop, settings.storeAddress, clock)
@@ -283,7 +283,7 @@
 
     /**
      * Finishes the requests in flight and takes no new connections; returns when none is left, or shortly before the
-     * end of the grace period.
+     * end of the grace period, when those that are left get their final response.
      */
     fun stop() {
         LogEvent.ROUTER_STOPPING.log(logger) { "router=${settings.name}" }
@@ -293,7 +293,12 @@
             TimeUnit.MILLISECONDS.sleep(STOP_CHECK_MILLIS)
             if (lifecycle.stoppingFor() >= BALANCER_DRAIN_DELAY) loop.submit { callerServer.closeIdle() }.get()
         }
-        LogEvent.ROUTER_STOPPED.log(logger) { "router=${settings.name} busy=${isBusy()}" }
+        val isBusy = isBusy()
+        if (isBusy) {
+            loop.submit { callerServer.endRequests() }.get()
+            TimeUnit.MILLISECONDS.sleep(LAST_RESPONSE_MILLIS)
+        }
+        LogEvent.ROUTER_STOPPED.log(logger) { "router=${settings.name} busy=$isBusy" }
     }
 
     /** Ends all calls and watches after [stop]. A process that exits doesn't need it. */
@@ -334,6 +339,9 @@
         private val STOP_MARGIN = 300.milliseconds
         private const val STOP_CHECK_MILLIS = 50L
 
+        /** Time in which the last responses leave the process. */
+        private const val LAST_RESPONSE_MILLIS = 100L
+
         /** Starts serving with [settings], on [listener] if that is the callers' port. */
         fun start(
             settings: NodeSettings,
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Admission.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Admission.kt
@@ -11,7 +11,6 @@
 import dev.almondhaven.traffic.TrafficRoute
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 
 /** Decides by route and API key whether a request is served. */
 internal class Admission(
@@ -26,9 +25,7 @@
             WireCalls.parseRequest { request.headers.get(it) }
                 ?: return RouterResponse.of(BAD_REQUEST, null, "no request id").left()
         val id = demand.requestId
-        if (context.lifecycle.stoppingFor() >
-            ACCEPT_WHILE_STOPPING
-        ) {
+        if (!context.lifecycle.acceptsRequests) {
             return notExecuted(id, RETRY_ELSEWHERE_DELAY, "the router is stopping")
         }
         val configuration = context.routing.configuration
@@ -90,11 +87,5 @@
 
         /** By then a router that has just started has loaded its configuration. */
         val RETRY_AFTER_START_DELAY = 500.milliseconds
-
-        /**
-         * After this time the load balancer has seen the failing readiness check; a request that arrives later might
-         * not finish before the process exits.
-         */
-        val ACCEPT_WHILE_STOPPING = 3.seconds
     }
 }
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/call/DeferredRequest.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/call/DeferredRequest.kt
@@ -28,7 +28,7 @@
 
     private fun check() {
         waitedMillis += CHECK_INTERVAL_MILLIS
-        if (callerDisconnected) return
+        if (callerDisconnected || delegate != null) return
         if (isReady() || waitedMillis >= MAX_WAIT_MILLIS) delegate = serve() else scheduleCheck()
     }
 
@@ -37,6 +37,11 @@
         delegate?.onCallerDisconnected()
     }
 
+    override fun onShutdown() {
+        val served = delegate
+        if (served == null) delegate = serve() else served.onShutdown()
+    }
+
     override fun onCallerWritable() {
         delegate?.onCallerWritable()
     }
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Exchange.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Exchange.kt
@@ -372,6 +372,16 @@
         finish("caller disconnected") {}
     }
 
+    override fun onShutdown() {
+        val running = attempt
+        attempt = null
+        if (running != null) {
+            running.cancel()
+            executions++
+        }
+        fail("the router stops")
+    }
+
     override fun onCallerWritable() {
         attempt?.setAutoRead(enabled = true)
     }
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/net/CallerConnection.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/net/CallerConnection.kt
@@ -60,6 +60,11 @@
         if (!isBusy) context.close()
     }
 
+    /** Ends the request that is being served with its final response. */
+    fun endRequest() {
+        inFlight?.onShutdown()
+    }
+
     private fun awaitRequest() {
         startTimer(limits().idleTimeout.inWholeMilliseconds) { if (!isBusy) context.close() }
     }
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/net/CallerServer.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/net/CallerServer.kt
@@ -77,6 +77,9 @@
         childOption(option as ChannelOption<Any>, value)
     }
 
+    /** Ends the requests that are being served, since the process is about to exit. */
+    fun endRequests(): Unit = connections.toList().forEach { it.endRequest() }
+
     /** Closes the connections on which no request is being read or served. */
     fun closeIdle(): Unit = connections.toList().forEach { it.closeIfIdle() }
 
--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/GatewayFixture.kt
@@ -166,6 +166,9 @@
         headers: List<Pair<String, String>> = WireSamples.callHeaders(id),
     ): String = sendRaw(request(path, id, body, headers))
 
+    /** Stops the gateway as a signal does; returns after the last response, or at the end of the grace period. */
+    fun stop(): Unit = gateway.stop()
+
     override fun close() {
         if (isClosed) return
         isClosed = true
