--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/StoppingTest.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/StoppingTest.kt
@@ -43,7 +43,9 @@
     private fun status(response: String) = response.substringBefore("\r\n")
 
     private fun callInBackground(path: String): CompletableFuture<String> =
-        CompletableFuture.supplyAsync { fixture.call(path, "r-1") }.also { arrived.await() }
+        CompletableFuture.supplyAsync { fixture.call(path, "r-1") }.also {
+            check(arrived.await(PATIENCE_SECONDS, TimeUnit.SECONDS)) { "the request has not reached the endpoint" }
+        }
 
     private fun stopInBackground(): CompletableFuture<Void> = CompletableFuture.runAsync { fixture.stop() }
 
@@ -77,7 +79,7 @@
             val stopped = stopInBackground()
             TimeUnit.MILLISECONDS.sleep(EARLY_MILLIS)
             fixture.call("${WireSamples.NON_IDEMPOTENT_PATH}a", "r-1")
-            stopped.get()
+            stopped.get(PATIENCE_SECONDS, TimeUnit.SECONDS)
 
             expectThat(reached.toList()).isEqualTo(listOf("r-1"))
         }
@@ -87,7 +89,7 @@
             val stopped = stopInBackground()
             TimeUnit.MILLISECONDS.sleep(LATE_MILLIS)
             val response = fixture.call("${WireSamples.NON_IDEMPOTENT_PATH}a", "r-1")
-            stopped.get()
+            stopped.get(PATIENCE_SECONDS, TimeUnit.SECONDS)
 
             expectThat(status(response)).isEqualTo("HTTP/1.1 503 Service Unavailable")
             expectThat(reached.toList()).isEqualTo(emptyList())
--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/TruncatedResponseTest.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/TruncatedResponseTest.kt
@@ -38,13 +38,15 @@
                     val text = response(it)
                     val written = it.id.substringAfter("r-").toInt()
                     it.write(text.take(written))
-                    if (written < text.length || "Content-Length" !in text && "chunked" !in text) it.socket.close()
+                    if (written < text.length || endsWithConnection(text)) it.socket.close()
                 }
             }
         val started = GatewayFixture(listOf(endpoint), allowsRetries = false).also { fixture = it }
         return (0..MOST_BYTES).associateWith { started.call(path, "r-$it") }.filterValues(::looksWhole)
     }
 
+    private fun endsWithConnection(response: String) = "Content-Length" !in response && "chunked" !in response
+
     private fun looksWhole(response: String): Boolean {
         val head = response.substringBefore("\r\n\r\n")
         val body = response.substringAfter("\r\n\r\n", "")
