--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/state/KindWatcher.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/state/KindWatcher.kt
@@ -89,7 +89,7 @@
         val changes = response?.takeIf { it.status == OK }?.let { StoreCall.changes(it.body) }
         val isBehind = response?.status == StoreCall.REVISION_EXPIRED || changes?.changed?.isNotEmpty() == true
         if (!isBehind) {
-            // A call that failed proves nothing; it is repeated once the store's revision is heard of again.
+            // A call that failed proves nothing; it is repeated after the interval.
             if (changes != null) knownRevision = maxOf(knownRevision, changes.revision)
             return
         }
