Keep a session on the new version once that has run it

A session that one router had moved went back at another one whose share was smaller, even if that router knew that the new version had run it: what it knew was used in the first half only.

A version that was rejected or rolled back is left as before.

--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/state/RollOutController.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/state/RollOutController.kt
@@ -142,9 +142,12 @@
     ): VersionConstraint {
         val elapsed = rollOut.age.position(clock.nanos())
         val chosen = if (hashFraction(session ?: requestId) < rollOut.schedule.share(elapsed)) new else old
-        if (session == null || rollOut.schedule.allowsSessionMoves(elapsed)) return chosen
-        val currentVersion = sessionsOf(rollOut.order.service).versionOf(session, clock.nanos()) ?: return chosen
-        return if (currentVersion == rollOut.order.target) new else old
+        val current = session?.let { sessionsOf(rollOut.order.service).versionOf(it, clock.nanos()) }
+        return when {
+            current == rollOut.order.target -> new
+            current == null || rollOut.schedule.allowsSessionMoves(elapsed) -> chosen
+            else -> old
+        }
     }
 
     private fun sessionsOf(service: ServiceId): SessionVersions =
--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/state/RollOutControllerTest.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/state/RollOutControllerTest.kt
@@ -329,5 +329,15 @@
 
             expectThat(versionFor(session, 12_600)).isEqualTo(new)
         }
+
+        /** Guards against a session that goes back at a router whose share is still smaller. */
+        @Test
+        fun `stays on the new version once that ran it, however small the share is`() {
+            startRollOut()
+            val session = generateSequence(0) { it + 1 }.map { "session-$it" }.first { versionFor(it, 15_000) == old }
+            rollOuts.applyAnnouncement(SessionAnnouncement("engines", session, "v2", running = false))
+
+            expectThat(listOf(15_100L, 19_999L).map { versionFor(session, it) }).isEqualTo(listOf(new, new))
+        }
     }
 }
