Let the evidence about a canary outlive the restart of a router

The three routers that pool the counts forgot them when they were restarted, and each router announced a count once only, when it changed. And a router that was restarted announced counts that begin anew under the same name; the pool took them for older ones, and ignored them until they exceeded those from before the restart. A bad version was then judged on fewer answers than were seen.

Now all counts are announced again every two seconds, to three routers, and each start of a router counts under a name of its own.

--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/Gateway.kt
@@ -60,7 +60,16 @@
         ConfigurationWatcher(settings.bounds, store, loop, clock, ::configure, ::catchUpTo)
     private val peers = PeerMessenger(group, settings.peerAddress, loop, clock, routing, random)
     private val rollOuts =
-        RollOutController(settings.name, settings.bounds, store, loop, clock, random, peers, routing::routerCount)
+        RollOutController(
+            "${settings.name}/${random.nextLong().toULong().toString(radix = 36)}",
+            settings.bounds,
+            store,
+            loop,
+            clock,
+            random,
+            peers,
+            routing::routerCount,
+        )
     private val promptQuarantine =
         PromptQuarantineController(
             settings.name,
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/state/ActiveRollOut.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/state/ActiveRollOut.kt
@@ -46,6 +46,9 @@
     /** The own counts that were last announced. */
     var announced: Map<EvidenceSubject, CanaryCounts> = emptyMap()
 
+    /** When all of them are announced again. */
+    var repeatAnnouncementAt = heardAt
+
     val isDecided: Boolean get() = order.state == RollOutState.DONE || order.state == RollOutState.ROLLED_BACK
     val isRejected: Boolean get() = requestedState == RollOutState.ROLLED_BACK
 
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/state/RollOutController.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/state/RollOutController.kt
@@ -25,6 +25,7 @@
 import java.net.InetSocketAddress
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 private val logger = KotlinLogging.logger {}
 
@@ -34,6 +35,9 @@
  * first decision binds all routers. A router that hears that another one has rejected a version stops using it at once,
  * and writes the decision itself if the other one does not.
  * Must be used on the event loop only.
+ *
+ * @property router identifies this start of the router: the counts of a process that was restarted begin anew, and add to
+ *   those that it announced before.
  */
 internal class RollOutController(
     private val router: String,
@@ -323,6 +327,7 @@
 
     private fun checkProgress(rollOut: ActiveRollOut) {
         ageExchange.askIfDue(rollOut)
+        forgetAnnouncedIfDue(rollOut)
         announceCanary(rollOut)
         val elapsed = rollOut.age.position(clock.nanos())
         if (rollOut.schedule.isComplete(elapsed)) {
@@ -332,6 +337,14 @@
         }
     }
 
+    /** Lets all counts be announced again at times: an announcement may be lost, and a router that pools them restarted. */
+    private fun forgetAnnouncedIfDue(rollOut: ActiveRollOut) {
+        val now = clock.nanos()
+        if (now - rollOut.repeatAnnouncementAt < 0) return
+        rollOut.announced = emptyMap()
+        rollOut.repeatAnnouncementAt = now + REPEAT_INTERVAL.inWholeNanoseconds
+    }
+
     /** Stores the age after a random delay, unless another router does so meanwhile. */
     private fun storeAgeLater(rollOut: ActiveRollOut) {
         if (rollOut.isStoringAge || rollOut.requestedState != null) return
@@ -426,5 +439,6 @@
         /** The upper 53 bits of a hash are exactly representable in a [Double]. */
         const val UNUSED_BITS = 11
         val WRITE_TIMEOUT = 1_000.milliseconds
+        val REPEAT_INTERVAL = 2.seconds
     }
 }
--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/state/RollOutControllerTest.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/state/RollOutControllerTest.kt
@@ -237,6 +237,20 @@
                 .isEqualTo(listOf(CanaryAnnouncement("engines", 1, "router-0", "draft", 0, 0, 5, 0)))
         }
 
+        /** Guards against a router that pools the counts and has forgotten them because it was restarted. */
+        @Test
+        fun `is announced again after a while, though it has not answered again`() {
+            rollOuts.start()
+            startRollOut()
+            rollOuts.recordResponse(service, "v2", "draft", failed = false)
+            advance(200)
+            now = 2_000.milliseconds.inWholeNanoseconds
+            advance(200)
+
+            expectThat(canaries.toList())
+                .isEqualTo(List(2) { CanaryAnnouncement("engines", 1, "router-0", "draft", 0, 0, 1, 0) })
+        }
+
         @Test
         fun `is found if its answers are right but slow`() {
             startRollOut()
