Count a quarantine on the monotonic clock

A quarantine of prompt parts was stored with the time of day at which it ends. A router whose time of day was ahead took one in force for one that had ended long ago: it sent such prompts to endpoints and, when it listed the entries, deleted the entry, whereupon all routers lifted it.

Shown on the code before, with a time of day 40 minutes ahead (a scratch copy of PromptQuarantineControllerTest): the router deletes the entry of a quarantine that has ten minutes left.

Now the entry holds the time that was left when it was stored. A router counts it from when it hears of it, on its own monotonic clock, and deletes the entry when it has passed; the deletion ends it at the routers that heard of it later. A router that has just started may so keep a quarantine for longer, at most for its whole time. Listing an entry again does not prolong it. An entry of the format before is logged as unreadable; its quarantine is found anew.

--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/state/PromptQuarantineController.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/state/PromptQuarantineController.kt
@@ -23,16 +23,16 @@
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.nanoseconds
 import kotlin.time.Duration.Companion.seconds
 
 private val logger = KotlinLogging.logger {}
 
 /**
  * Keeps requests from the endpoints whose prompts crash them: passes what this router and others see to a
- * [CrashAttribution], and stores each quarantine, so that a router that starts later keeps it too. Must be used on the
- * event loop only.
- *
- * @param wallClock Unix time in milliseconds.
+ * [CrashAttribution], and stores each quarantine, so that a router that starts later keeps it too. A router can't tell how
+ * long ago a stored quarantine began; it keeps it for all of its time, unless another one deletes the entry, which each
+ * router does when the time has passed on its own monotonic clock. Must be used on the event loop only.
  */
 internal class PromptQuarantineController(
     private val router: String,
@@ -43,13 +43,24 @@
     private val announcer: PromptAnnouncer,
     private val routerCount: () -> Int,
     private val endpointOf: (EndpointId) -> EndpointHandle?,
-    private val wallClock: () -> Long = System::currentTimeMillis,
 ) {
+    /**
+     * A stored quarantine.
+     *
+     * @property revision of its entry; null until the entry has been read.
+     * @property until monotonic time in nanoseconds at which it ends at this router.
+     */
+    private class StoredQuarantine(
+        val parts: Set<String>,
+        val revision: Long?,
+        val until: Long,
+    )
+
     private val attribution = CrashAttribution()
 
     /** Requests whose connections broke, by the endpoint that is being probed for a crash. */
     private val unconfirmed = HashMap<EndpointHandle, MutableList<CrashReport>>()
-    private val stored = HashMap<String, PromptQuarantine>()
+    private val stored = HashMap<String, StoredQuarantine>()
     private val unreadable = UnreadableEntries(StoreKind.PROMPT_QUARANTINES)
 
     /** Called after a quarantine has begun. */
@@ -238,9 +249,9 @@
 
     private fun storeNow(parts: Set<String>) {
         val remaining = attribution.quarantines(parts, clock.nanos())[parts] ?: return
-        val quarantine = PromptQuarantine(parts, wallClock() + remaining.inWholeMilliseconds)
+        val quarantine = PromptQuarantine(parts, remaining)
         val held = stored[quarantine.name]
-        if (held != null && held.untilMillis > wallClock()) return
+        if (held != null && held.until - clock.nanos() > 0) return
         if (held != null) {
             delete(quarantine.name)
             return storeLater(parts)
@@ -249,7 +260,7 @@
             if (response == null) {
                 loop.schedule({ storeNow(parts) }, STORE_RETRY_DELAY.inWholeMilliseconds, TimeUnit.MILLISECONDS)
             } else {
-                stored[quarantine.name] = quarantine
+                hold(quarantine.name, quarantine, revision = null)
             }
         }
     }
@@ -266,15 +277,11 @@
         }
     }
 
-    /** Applies the complete list of stored quarantines, and deletes those that ended long ago. */
+    /** Applies the complete list of stored quarantines. */
     fun replaceStored(entries: List<StoredObject>) {
         val missing = stored.keys - entries.map { it.name }.toSet()
         missing.forEach(::end)
         entries.forEach(::applyStored)
-        stored
-            .filterValues { it.untilMillis + ENDED_KEPT.inWholeMilliseconds < wallClock() }
-            .keys
-            .forEach(::delete)
     }
 
     /** Applies changes of stored quarantines. */
@@ -283,16 +290,32 @@
 
     private fun applyStored(entry: StoredObject) {
         val quarantine = unreadable.read(entry, StoredObject::asPromptQuarantine) ?: return
-        stored[entry.name] = quarantine
-        applyQuarantine(quarantine.parts, (quarantine.untilMillis - wallClock()).milliseconds, "stored")
+        if (stored[entry.name]?.revision != entry.revision) hold(entry.name, quarantine, entry.revision)
+        val remaining = (stored.getValue(entry.name).until - clock.nanos()).nanoseconds
+        applyQuarantine(quarantine.parts, remaining, "stored")
+    }
+
+    /** Counts the time of [quarantine] from now or, if this router has stored it itself, from then. */
+    private fun hold(
+        name: String,
+        quarantine: PromptQuarantine,
+        revision: Long?,
+    ) {
+        val own = stored[name]?.takeIf { it.revision == null }
+        val until = own?.until ?: (clock.nanos() + quarantine.remaining.inWholeNanoseconds)
+        val held = StoredQuarantine(quarantine.parts, revision, until)
+        stored[name] = held
+        val spread = (random.nextDouble() * routerCount() * STORE_SPREAD_MILLIS).milliseconds
+        val delay = (until - clock.nanos()).nanoseconds + ENDED_KEPT + spread
+        loop.schedule({ if (stored[name] === held) delete(name) }, delay.inWholeMilliseconds, TimeUnit.MILLISECONDS)
     }
 
-    /** Ends a quarantine whose entry was deleted before its time, which is how an operator lifts it. */
+    /** Ends a quarantine whose entry was deleted, by an operator or by a router that has held it for all of its time. */
     private fun end(name: String) {
-        val quarantine = stored.remove(name) ?: return
-        if (quarantine.untilMillis <= wallClock()) return
-        LogEvent.PROMPT_QUARANTINE_ENDED.log(logger) { "parts=${quarantine.parts} reason=deleted" }
-        attribution.lift(quarantine.parts)
+        val held = stored.remove(name) ?: return
+        if (held.until - clock.nanos() <= 0) return
+        LogEvent.PROMPT_QUARANTINE_ENDED.log(logger) { "parts=${held.parts} reason=deleted" }
+        attribution.lift(held.parts)
     }
 
     private companion object {
@@ -319,7 +342,7 @@
         val STORE_TIMEOUT = 1.seconds
         val STORE_RETRY_DELAY = 500.milliseconds
 
-        /** Clocks of the routers differ by less. */
+        /** Time after its end in which the same parts, if they crash endpoints again, get a new entry first. */
         val ENDED_KEPT = 60.seconds
     }
 }
--- a/model/src/main/kotlin/dev/almondhaven/traffic/PromptQuarantine.kt
+++ b/model/src/main/kotlin/dev/almondhaven/traffic/PromptQuarantine.kt
@@ -1,13 +1,16 @@
 package dev.almondhaven.traffic
 
+import kotlin.time.Duration
+
 /**
  * Prompt parts that crash endpoints when a prompt holds all of them.
  *
- * @property untilMillis Unix time in milliseconds at which the quarantine ends.
+ * @property remaining time that was left of the quarantine when it was stored; a router that hears of it later can't tell how
+ *   much has passed since.
  */
 public data class PromptQuarantine(
     public val parts: Set<String>,
-    public val untilMillis: Long,
+    public val remaining: Duration,
 ) {
     init {
         require(parts.isNotEmpty()) { "parts must not be empty" }
