Begin a canary when all routers have heard of the order

Another case of a time of hearing that is taken for the time of the event.

Now the canary's share is 0 for the first half second of an order's age, or a twentieth of a short roll-out. Sessions are announced in that time already. RollOutScheduleTest: the canary's share is constant from 0.5 s on, before from 0 s; a new case holds the time before.

--- a/decision/src/main/kotlin/dev/almondhaven/decision/traffic/RollOutSchedule.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/traffic/RollOutSchedule.kt
@@ -1,11 +1,13 @@
 package dev.almondhaven.decision.traffic
 
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /**
  * Schedule by which a service's traffic shifts to a new version.
  *
- * During the first half of the time a small, constant share of the sessions runs on the new version as a canary: the
+ * The canary begins when all routers have heard of the order: a session that one of them still sends to the old version
+ * must not be on the new one already. During the rest of the first half of the time a small, constant share of the sessions runs on the new version as a canary: the
  * operator forbids moving running sessions then, and a bad version must get few requests. Unless the canary fails, the
  * share then grows to all sessions, early enough that requests still running at the old endpoints end before those are
  * stopped.
@@ -19,10 +21,19 @@
         require(timeLimit.isPositive()) { "timeLimit must be positive, got $timeLimit" }
     }
 
+    private val canaryStart = minOf(CANARY_START, timeLimit * LATEST_CANARY_START)
+
+    /** Share of the sessions that may run on the new version in the first half. */
+    public val canaryShare: Double get() = CANARY_SHARE
+
     /** Share of the sessions that run on the new version after [elapsed], from 0 to 1. */
     public fun share(elapsed: Duration): Double {
         val progress = elapsed / timeLimit
         return when {
+            elapsed < canaryStart -> {
+                0.0
+            }
+
             progress < RAMP_START -> {
                 CANARY_SHARE
             }
@@ -62,6 +73,12 @@
         /** Gives enough requests to detect a version that fails often, and far fewer than a bad version may get. */
         const val CANARY_SHARE = 0.08
 
+        /** All routers have heard of the order by then, and have announced which sessions run on the old version. */
+        val CANARY_START = 500.milliseconds
+
+        /** Fraction of the time limit after which the canary starts at the latest. */
+        const val LATEST_CANARY_START = 0.05
+
         /** Fractions of the time limit between which the share grows to all sessions. */
         const val RAMP_START = 0.52
         const val RAMP_END = 0.66
--- a/decision/src/test/kotlin/dev/almondhaven/decision/traffic/RollOutScheduleTest.kt
+++ b/decision/src/test/kotlin/dev/almondhaven/decision/traffic/RollOutScheduleTest.kt
@@ -6,6 +6,7 @@
 import strikt.assertions.all
 import strikt.assertions.isEqualTo
 import strikt.assertions.isLessThanOrEqualTo
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 class RollOutScheduleTest {
@@ -13,9 +14,18 @@
 
     @Nested
     inner class `a roll-out of 20 seconds` {
+        /** Guards against a session that moves because some routers hear of the order before others. */
         @Test
-        fun `keeps the canary share constant and small for the first half`() {
-            expectThat((0..10).map { schedule.share(it.seconds) }.distinct()).isEqualTo(listOf(0.08))
+        fun `begins with no canary until all routers have heard of the order`() {
+            val shares = listOf(0, 499, 500).map { schedule.share(it.milliseconds) }
+            val sharesOfShort = listOf(199, 200).map { RollOutSchedule(4.seconds).share(it.milliseconds) }
+
+            expectThat(shares + sharesOfShort).isEqualTo(listOf(0.0, 0.0, 0.08, 0.0, 0.08))
+        }
+
+        @Test
+        fun `keeps the canary share constant and small for the rest of the first half`() {
+            expectThat((1..20).map { schedule.share((it * 500).milliseconds) }.distinct()).isEqualTo(listOf(0.08))
         }
 
         @Test
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/state/RollOutController.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/state/RollOutController.kt
@@ -210,7 +210,7 @@
     ): Boolean {
         val elapsed = rollOut.age.position(clock.nanos())
         return !rollOut.isDecided && !rollOut.schedule.allowsSessionMoves(elapsed) &&
-            session.version != rollOut.order.target && hashFraction(session.id) < rollOut.schedule.share(elapsed)
+            session.version != rollOut.order.target && hashFraction(session.id) < rollOut.schedule.canaryShare
     }
 
     private fun hashFraction(text: String): Double {
--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/state/RollOutControllerTest.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/state/RollOutControllerTest.kt
@@ -97,7 +97,7 @@
 
     /** A session that is in the trial share from the start of a roll-out. */
     private fun trialSession(): String =
-        generateSequence(0) { it + 1 }.map { "session-$it" }.first { versionFor(it, 0) == new }
+        generateSequence(0) { it + 1 }.map { "session-$it" }.first { versionFor(it, 500) == new }.also { now = 0 }
 
     @Nested
     inner class `in the first half of a roll-out a session in the trial share` {
--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/state/RollOutFleet.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/state/RollOutFleet.kt
@@ -27,11 +27,13 @@
  * sessions whose requests reach random routers, on one virtual clock.
  *
  * @param lostDatagrams share of the datagrams that are lost.
+ * @param pauseMillis mean time from one request of a session to the next.
  */
 internal class RollOutFleet(
     routers: Int,
     seed: Int,
     private val lostDatagrams: Double = 0.0,
+    private val pauseMillis: Long = 700,
 ) {
     /**
      * A request that ran at [router] from [sentAt] to [endedAt].
@@ -123,13 +125,13 @@
 
     /** Sends a request of each of [count] sessions to a random router, again and again. */
     fun startSessions(count: Int): Unit =
-        (0 until count).forEach { number -> schedule(random.nextLong(PAUSE_MILLIS)) { request("session-$number") } }
+        (0 until count).forEach { number -> schedule(random.nextLong(pauseMillis)) { request("session-$number") } }
 
     private fun request(session: String) {
         val router = all.filter { it.isServing }.randomOrNull(random)
-        if (router == null) return schedule(PAUSE_MILLIS) { request(session) }
+        if (router == null) return schedule(pauseMillis) { request(session) }
         router.serve(session)
-        schedule(PAUSE_MILLIS / 2 + random.nextLong(PAUSE_MILLIS)) { request(session) }
+        schedule(pauseMillis / 2 + random.nextLong(pauseMillis)) { request(session) }
     }
 
     /** Requests that ran on another version than the one before in their session, although the rules forbid it. */
@@ -278,7 +280,7 @@
                 }
             current.runStarted(SERVICE, session, version)
             val sentAt = now
-            val runMillis = 50 + this@RollOutFleet.random.nextLong(PAUSE_MILLIS / 2)
+            val runMillis = SHORTEST_RUN_MILLIS + this@RollOutFleet.random.nextLong(RUN_SPREAD_MILLIS)
             runs += Run(session, version, sentAt, sentAt + runMillis, number, isInTouch, isDisrupted)
             schedule(runMillis) {
                 whenRunning {
@@ -365,7 +367,8 @@
         private const val STORE_MILLIS = 4L
         private const val WATCH_PAUSE_MILLIS = 150L
         private const val DATAGRAM_MILLIS = 4L
-        private const val PAUSE_MILLIS = 700L
+        private const val SHORTEST_RUN_MILLIS = 50L
+        private const val RUN_SPREAD_MILLIS = 350L
         private const val CONTACT_MILLIS = 3_000L
         private const val SESSION_MILLIS = 5_000L
         private const val MAX_UPTIME_MILLIS = 1_000_000L
--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/state/RollOutFleetTest.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/state/RollOutFleetTest.kt
@@ -84,6 +84,28 @@
             checkFleets(disturb = { at(8_000) { suspend(0, millis = 5_000) } }) { isDoneInTime() }
     }
 
+    @Nested
+    inner class `a session keeps its version in an undisturbed fleet of 35 routers` {
+        private fun wrongMoves(
+            sessions: Int,
+            pauseMillis: Long,
+            lostDatagrams: Double,
+        ): Int =
+            (1..SEEDS).sumOf { seed ->
+                val fleet = RollOutFleet(FLEET, seed, lostDatagrams, pauseMillis)
+                fleet.startSessions(sessions)
+                fleet.at(orderedAt) { fleet.order() }
+                fleet.run(endsAt)
+                fleet.wrongMoves(orderedAt).size
+            }
+
+        /** Guards against a canary that begins before all routers have heard of the order. */
+        @Test
+        fun `when its requests follow each other closely`() {
+            expectThat(wrongMoves(sessions = 300, pauseMillis = 700, lostDatagrams = 0.0)).isEqualTo(0)
+        }
+    }
+
     @Nested
     inner class `when all routers are restarted at once` {
         @Test
@@ -110,5 +132,7 @@
     private companion object {
         const val SESSIONS = 40
         const val LEAST_RUNS = 500
+        const val FLEET = 35
+        const val SEEDS = 10
     }
 }
