Let the later run of a session hold, whichever router tells it last

What a router heard last of a session held, whenever it had happened. In RollOutFleetTest's model a session went back to the old version (a) when a router that had been cut off told of its runs as it heard of the order, some of them seconds old, and others took them for newer than their own; (b) when a router that missed the datagram about the end of a run kept the session there for up to 15 s, while it had begun anew on the canary, which was announced to nobody.

Now a router announces the sessions of the canary's share on either version, with the time since their run ended, and the later run holds. Price: up to twice the announcements of sessions in the first half of a roll-out.

Tests changed: RollOutControllerTest expects the announcements of the new version and the idle time; SessionVersionsTest passes one more parameter.

--- a/decision/src/main/kotlin/dev/almondhaven/decision/traffic/SessionVersions.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/traffic/SessionVersions.kt
@@ -1,6 +1,7 @@
 package dev.almondhaven.decision.traffic
 
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.nanoseconds
 import kotlin.time.Duration.Companion.seconds
 
 /**
@@ -16,6 +17,7 @@
         var version: String,
         var runningRequests: Int,
         var expiresAt: Long,
+        var lastRunAt: Long,
     ) {
         fun isActive(now: Long): Boolean = runningRequests > 0 || expiresAt - now > 0
     }
@@ -32,27 +34,47 @@
         version: String,
         now: Long,
     ) {
-        val entry = sessions.getOrPut(session) { Session(version, runningRequests = 0, expiresAt = now) }
+        val entry =
+            sessions.getOrPut(
+                session,
+            ) { Session(version, runningRequests = 0, expiresAt = now, lastRunAt = now) }
         entry.version = version
+        entry.lastRunAt = now
         entry.runningRequests++
     }
 
-    /** Records that another router is [running] a request of [session] on [version], or ended one at [now]. */
+    /**
+     * Records what another router tells at [now]: that it is [running] a request of [session] on [version], or that the
+     * latest one ended [idle] ago. A run that this router knows to be later holds.
+     */
     public fun recordRemoteRun(
         session: String,
         version: String,
         running: Boolean,
+        idle: Duration,
         now: Long,
     ) {
-        val entry = sessions.getOrPut(session) { Session(version, runningRequests = 0, expiresAt = now) }
+        val ranAt = now - idle.inWholeNanoseconds
+        val entry =
+            sessions.getOrPut(
+                session,
+            ) { Session(version, runningRequests = 0, expiresAt = now, lastRunAt = ranAt) }
+        if (entry.runningRequests > 0 || ranAt - entry.lastRunAt < 0) return
         entry.version = version
-        entry.expiresAt = now + (if (running) idleTimeout + MAXIMUM_REMOTE_RUN else idleTimeout).inWholeNanoseconds
+        entry.lastRunAt = ranAt
+        entry.expiresAt = ranAt + (if (running) idleTimeout + MAXIMUM_REMOTE_RUN else idleTimeout).inWholeNanoseconds
     }
 
     /** Sessions that are active at [now], each with its version. */
     public fun activeSessions(now: Long): List<ActiveSession> =
         sessions.filterValues { it.isActive(now) }.map { (id, entry) ->
-            ActiveSession(id, entry.version, entry.runningRequests > 0)
+            val isRunning = entry.runningRequests > 0
+            ActiveSession(
+                id,
+                entry.version,
+                isRunning,
+                if (isRunning) Duration.ZERO else (now - entry.lastRunAt).nanoseconds,
+            )
         }
 
     /** Records that a request of [session] ended at [now]. */
@@ -62,6 +84,7 @@
     ) {
         val entry = sessions[session] ?: return
         entry.runningRequests--
+        entry.lastRunAt = now
         entry.expiresAt = now + idleTimeout.inWholeNanoseconds
     }
 
--- a/decision/src/test/kotlin/dev/almondhaven/decision/traffic/SessionVersionsTest.kt
+++ b/decision/src/test/kotlin/dev/almondhaven/decision/traffic/SessionVersionsTest.kt
@@ -4,6 +4,7 @@
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -48,9 +49,9 @@
     inner class `a session that another router runs` {
         @Test
         fun `keeps its version while the request may run and for the idle timeout afterwards`() {
-            versions.recordRemoteRun("a", "v1", running = true, at(0))
+            versions.recordRemoteRun("a", "v1", running = true, idle = Duration.ZERO, at(0))
             val whileRunning = listOf(14_900L, 15_000L).map { versions.versionOf("a", at(it)) }
-            versions.recordRemoteRun("a", "v1", running = false, at(3_000))
+            versions.recordRemoteRun("a", "v1", running = false, idle = Duration.ZERO, at(3_000))
             val afterwards = listOf(7_900L, 8_000L).map { versions.versionOf("a", at(it)) }
 
             expectThat(whileRunning + afterwards).isEqualTo(listOf("v1", null, "v1", null))
@@ -58,15 +59,33 @@
 
         @Test
         fun `is active like a session of this router`() {
-            versions.recordRemoteRun("a", "v1", running = true, at(0))
+            versions.recordRemoteRun("a", "v1", running = true, idle = Duration.ZERO, at(0))
             versions.recordStart("b", "v2", at(0))
             versions.recordStart("c", "v1", at(0))
             versions.recordEnd("c", at(100))
 
             expectThat(versions.activeSessions(at(6_000)))
                 .isEqualTo(
-                    listOf(ActiveSession("a", "v1", isRunning = false), ActiveSession("b", "v2", isRunning = true)),
+                    listOf(
+                        ActiveSession("a", "v1", isRunning = false, idle = 6.seconds),
+                        ActiveSession("b", "v2", isRunning = true),
+                    ),
                 )
         }
+
+        /** Guards against a router that was cut off and tells of its runs when it is back. */
+        @Test
+        fun `keeps the version of the later run, whichever is told last`() {
+            versions.recordRemoteRun("a", "v2", running = false, idle = 1.seconds, at(10_000))
+            versions.recordRemoteRun("a", "v1", running = false, idle = 2.seconds, at(10_000))
+            versions.recordStart("b", "v2", at(9_000))
+            versions.recordRemoteRun("b", "v1", running = false, idle = Duration.ZERO, at(10_000))
+            versions.recordRemoteRun("c", "v1", running = false, idle = 2.seconds, at(10_000))
+
+            expectThat(
+                listOf("a", "b", "c").map { versions.versionOf(it, at(12_999)) },
+            ).isEqualTo(listOf("v2", "v2", "v1"))
+            expectThat(versions.versionOf("c", at(13_000))).isEqualTo(null)
+        }
     }
 }
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/peer/PeerMessenger.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/peer/PeerMessenger.kt
@@ -25,8 +25,8 @@
 
 /**
  * Exchanges datagrams with the other routers about long prefills: an engine in the prefill of a long prompt delays all
- * its other requests, and its load reports are too old to show that. During a roll-out the routers also announce which
- * sessions still run on the old version, since the requests of a session reach different routers, and how long ago the
+ * its other requests, and its load reports are too old to show that. During a roll-out the routers also announce on which
+ * version the sessions of the trial part run, since the requests of a session reach different routers, and how long ago the
  * roll-out was ordered. Datagrams may be lost. Must be used on the event loop only, except [listen].
  */
 internal class PeerMessenger(
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/peer/RollOutAnnouncer.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/peer/RollOutAnnouncer.kt
@@ -20,7 +20,7 @@
     /** Sends [statement], which asks for the same, to a few routers, other ones each time. */
     fun askRollOut(statement: RollOutStatement)
 
-    /** Answers the router at [address] that asked; [sessions] are those that must stay on the old version. */
+    /** Answers the router at [address] that asked; [sessions] must stay on their version. */
     fun answerRollOut(
         address: InetSocketAddress,
         statement: RollOutStatement,
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/state/RollOutAgeExchange.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/state/RollOutAgeExchange.kt
@@ -18,12 +18,12 @@
  * an order and knows other routers, in quick succession until one answers, and regularly afterwards, since it may be
  * suspended at any time. Must be used on the event loop only.
  *
- * @property pinnedSessions sessions that must stay on the old version for now.
+ * @property sessionsToAnnounce sessions whose version a router must know that has heard of the order late.
  */
 internal class RollOutAgeExchange(
     private val announcer: RollOutAnnouncer,
     private val clock: NanoClock,
-    private val pinnedSessions: (ActiveRollOut) -> List<SessionAnnouncement>,
+    private val sessionsToAnnounce: (ActiveRollOut) -> List<SessionAnnouncement>,
 ) {
     /** Whether the list of routers is known. */
     var knowsRouters = false
@@ -58,7 +58,14 @@
         logGain(rollOut, rollOut.age.recordAtLeast(stated, now), "$sender")
         // Another router that has only read the stored age must not take it for that of a router that followed the roll-out.
         if (rollOut.age.isProvisional) return
-        val sessions = if (ownAge - stated > LATE_HEARING) pinnedSessions(rollOut).take(MAX_SESSIONS) else emptyList()
+        val sessions =
+            if (ownAge - stated >
+                LATE_HEARING
+            ) {
+                sessionsToAnnounce(rollOut).take(MAX_SESSIONS)
+            } else {
+                emptyList()
+            }
         announcer.answerRollOut(sender, statementOf(rollOut, asks = false), sessions)
     }
 
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/state/RollOutController.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/state/RollOutController.kt
@@ -52,7 +52,7 @@
     private val activeRollOuts = HashMap<ServiceId, ActiveRollOut>()
     private val sessions = HashMap<ServiceId, SessionVersions>()
     private val answerTimes = HashMap<ServiceId, AnswerTimes>()
-    private val ageExchange = RollOutAgeExchange(announcer, clock, ::pinnedSessions)
+    private val ageExchange = RollOutAgeExchange(announcer, clock, ::sessionsToAnnounce)
 
     fun start() {
         loop.scheduleWithFixedDelay(
@@ -70,7 +70,7 @@
             val rollOut = ActiveRollOut(order, clock.nanos())
             activeRollOuts[order.service] = rollOut
             ageExchange.askIfDue(rollOut)
-            pinnedSessions(rollOut).forEach(announcer::announceSession)
+            sessionsToAnnounce(rollOut).forEach(announcer::announceSession)
         } else {
             existing.order = order
             ageExchange.applyStored(existing)
@@ -164,7 +164,7 @@
         version: String,
     ) {
         sessionsOf(service).recordStart(session, version, clock.nanos())
-        announceIfPinned(service, ActiveSession(session, version, isRunning = true))
+        announceSession(service, ActiveSession(session, version, isRunning = true))
     }
 
     /** Records that a request of [session] has ended at an endpoint of [version]. */
@@ -174,7 +174,7 @@
         version: String,
     ) {
         sessionsOf(service).recordEnd(session, clock.nanos())
-        announceIfPinned(service, ActiveSession(session, version, isRunning = false))
+        announceSession(service, ActiveSession(session, version, isRunning = false))
     }
 
     /** Applies what another router announced about a session. */
@@ -183,34 +183,39 @@
             announcement.session,
             announcement.version,
             announcement.running,
+            announcement.idleMillis.coerceAtLeast(0).milliseconds,
             clock.nanos(),
         )
 
-    /** Sessions that must not move to the new version yet; announced, since their requests may reach any router. */
-    private fun pinnedSessions(rollOut: ActiveRollOut): List<SessionAnnouncement> {
+    /** Sessions whose version other routers must know, since their requests may reach any router. */
+    private fun sessionsToAnnounce(rollOut: ActiveRollOut): List<SessionAnnouncement> {
         val service = rollOut.order.service
-        return sessionsOf(service).activeSessions(clock.nanos()).filter { isPinned(rollOut, it) }.map {
-            SessionAnnouncement(service.value, it.id, it.version, it.isRunning)
-        }
+        return sessionsOf(service)
+            .activeSessions(clock.nanos())
+            .filter { isToBeAnnounced(rollOut, it) }
+            .map { SessionAnnouncement.of(service, it) }
     }
 
-    private fun announceIfPinned(
+    private fun announceSession(
         service: ServiceId,
         session: ActiveSession,
     ) {
         val rollOut = activeRollOuts[service] ?: return
-        if (!isPinned(rollOut, session)) return
-        announcer.announceSession(SessionAnnouncement(service.value, session.id, session.version, session.isRunning))
+        if (!isToBeAnnounced(rollOut, session)) return
+        announcer.announceSession(SessionAnnouncement.of(service, session))
     }
 
-    /** Whether [session] would be on the new version if it were not running on the old one already. */
-    private fun isPinned(
+    /**
+     * Whether another router would send [session] to the new version if it knew nothing of it. One that runs there is
+     * announced as well: a router that missed the end of an earlier run would send it back to the old version.
+     */
+    private fun isToBeAnnounced(
         rollOut: ActiveRollOut,
         session: ActiveSession,
     ): Boolean {
         val elapsed = rollOut.age.position(clock.nanos())
         return !rollOut.isDecided && !rollOut.schedule.allowsSessionMoves(elapsed) &&
-            session.version != rollOut.order.target && hashFraction(session.id) < rollOut.schedule.canaryShare
+            hashFraction(session.id) < rollOut.schedule.canaryShare
     }
 
     private fun hashFraction(text: String): Double {
--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/state/RollOutControllerTest.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/state/RollOutControllerTest.kt
@@ -141,7 +141,7 @@
     }
 
     @Nested
-    inner class `a router that runs a session on the old version in the first half` {
+    inner class `a router that runs a session of the trial share in the first half` {
         @Test
         fun `tells the other routers, which keep the session there`() {
             startRollOut()
@@ -161,9 +161,11 @@
             startRollOut()
             runSession(session, "v1", from = 200, to = 300)
             runSession(session, "v2", from = 6_000, to = 6_100)
+            runSession(session, "v2", from = 12_600, to = 12_700)
 
             expectThat(announced.toList()).isEqualTo(
-                listOf(false, true, false).map { SessionAnnouncement("engines", session, "v1", running = it) },
+                listOf(false, true, false).map { SessionAnnouncement("engines", session, "v1", running = it) } +
+                    listOf(true, false).map { SessionAnnouncement("engines", session, "v2", running = it) },
             )
         }
     }
@@ -319,7 +321,7 @@
         }
 
         @Test
-        fun `is told the time, and which sessions stay on the old version`() {
+        fun `is told the time, and on which version the sessions of the trial share run`() {
             startRollOut()
             val session = trialSession()
             runSession(session, "v1", from = 1_000, to = 2_000)
@@ -327,9 +329,8 @@
             now = 3_000.milliseconds.inWholeNanoseconds
             rollOuts.applyStatement(statement(100, asks = true), peer)
 
-            expectThat(answered.toList()).isEqualTo(
-                listOf(statement(3_000) to listOf(SessionAnnouncement("engines", session, "v1", running = false))),
-            )
+            val announcement = SessionAnnouncement("engines", session, "v1", running = false, idleMillis = 1_000)
+            expectThat(answered.toList()).isEqualTo(listOf(statement(3_000) to listOf(announcement)))
         }
     }
 
--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/state/RollOutFleetTest.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/state/RollOutFleetTest.kt
@@ -104,6 +104,12 @@
         fun `when its requests follow each other closely`() {
             expectThat(wrongMoves(sessions = 300, pauseMillis = 700, lostDatagrams = 0.0)).isEqualTo(0)
         }
+
+        /** Guards against a router that missed the end of a run and keeps the session on a version that it has left. */
+        @Test
+        fun `when it pauses for as long as it may, and datagrams are lost`() {
+            expectThat(wrongMoves(sessions = 1_200, pauseMillis = 4_000, lostDatagrams = 0.01)).isEqualTo(0)
+        }
     }
 
     @Nested
