Wording and layout of what the roll-out's age brought

Comments that read badly, lines that the formatter broke in odd places, and defaults of a private class. No behaviour changed; RollOut*Test, SessionVersionsTest and PromptQuarantineControllerTest pass.

--- a/decision/src/main/kotlin/dev/almondhaven/decision/traffic/RollOutAge.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/traffic/RollOutAge.kt
@@ -35,7 +35,7 @@
     /** Time since the order that has certainly passed at [now]. */
     public fun elapsed(now: Long): Duration = (now - startedAt).nanoseconds
 
-    /** Time of the schedule that is in force at [now]; no session that has moved goes back at it. */
+    /** Time at which the schedule is to be read at [now]: late enough that no session that has moved goes back. */
     public fun position(now: Long): Duration = if (isProvisional) schedule.latestSince(elapsed(now)) else elapsed(now)
 
     /** Applies that [age] had passed at [now]; returns by how much the age known was too low, zero if it was not. */
--- a/decision/src/main/kotlin/dev/almondhaven/decision/traffic/RollOutSchedule.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/traffic/RollOutSchedule.kt
@@ -6,11 +6,11 @@
 /**
  * Schedule by which a service's traffic shifts to a new version.
  *
- * The canary begins when all routers have heard of the order: a session that one of them still sends to the old version
- * must not be on the new one already. During the rest of the first half of the time a small, constant share of the sessions runs on the new version as a canary: the
- * operator forbids moving running sessions then, and a bad version must get few requests. Unless the canary fails, the
- * share then grows to all sessions, early enough that requests still running at the old endpoints end before those are
- * stopped.
+ * During the first half of the time a small, constant share of the sessions runs on the new version as a canary: the
+ * operator forbids moving running sessions then, and a bad version must get few requests. The canary begins when all
+ * routers have heard of the order: a session that one of them still sends to the old version must not be on the new one
+ * already. Unless the canary fails, the share then grows to all sessions, early enough that requests still running at
+ * the old endpoints end before those are stopped.
  *
  * @property timeLimit time that the operator allows for the whole roll-out.
  */
--- a/decision/src/main/kotlin/dev/almondhaven/decision/traffic/SessionVersions.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/traffic/SessionVersions.kt
@@ -15,10 +15,11 @@
 ) {
     private class Session(
         var version: String,
-        var runningRequests: Int,
-        var expiresAt: Long,
         var lastRunAt: Long,
     ) {
+        var runningRequests = 0
+        var expiresAt = lastRunAt
+
         fun isActive(now: Long): Boolean = runningRequests > 0 || expiresAt - now > 0
     }
 
@@ -34,10 +35,7 @@
         version: String,
         now: Long,
     ) {
-        val entry =
-            sessions.getOrPut(
-                session,
-            ) { Session(version, runningRequests = 0, expiresAt = now, lastRunAt = now) }
+        val entry = sessions.getOrPut(session) { Session(version, lastRunAt = now) }
         entry.version = version
         entry.lastRunAt = now
         entry.runningRequests++
@@ -55,10 +53,7 @@
         now: Long,
     ) {
         val ranAt = now - idle.inWholeNanoseconds
-        val entry =
-            sessions.getOrPut(
-                session,
-            ) { Session(version, runningRequests = 0, expiresAt = now, lastRunAt = ranAt) }
+        val entry = sessions.getOrPut(session) { Session(version, lastRunAt = ranAt) }
         if (entry.runningRequests > 0 || ranAt - entry.lastRunAt < 0) return
         entry.version = version
         entry.lastRunAt = ranAt
@@ -69,12 +64,8 @@
     public fun activeSessions(now: Long): List<ActiveSession> =
         sessions.filterValues { it.isActive(now) }.map { (id, entry) ->
             val isRunning = entry.runningRequests > 0
-            ActiveSession(
-                id,
-                entry.version,
-                isRunning,
-                if (isRunning) Duration.ZERO else (now - entry.lastRunAt).nanoseconds,
-            )
+            val idle = if (isRunning) Duration.ZERO else (now - entry.lastRunAt).nanoseconds
+            ActiveSession(id, entry.version, isRunning, idle)
         }
 
     /** Records that a request of [session] ended at [now]. */
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/peer/PeerMessenger.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/peer/PeerMessenger.kt
@@ -25,9 +25,9 @@
 
 /**
  * Exchanges datagrams with the other routers about long prefills: an engine in the prefill of a long prompt delays all
- * its other requests, and its load reports are too old to show that. During a roll-out the routers also announce on which
- * version the sessions of the trial part run, since the requests of a session reach different routers, and how long ago the
- * roll-out was ordered. Datagrams may be lost. Must be used on the event loop only, except [listen].
+ * its other requests, and its load reports are too old to show that. During a roll-out the routers also tell each other
+ * how long ago it was ordered and, since the requests of a session reach different routers, on which version the sessions
+ * of the canary's share run. Datagrams may be lost. Must be used on the event loop only, except [listen].
  */
 internal class PeerMessenger(
     private val group: EventLoopGroup,
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/state/RollOutAgeExchange.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/state/RollOutAgeExchange.kt
@@ -18,7 +18,7 @@
  * an order and knows other routers, in quick succession until one answers, and regularly afterwards, since it may be
  * suspended at any time. Must be used on the event loop only.
  *
- * @property sessionsToAnnounce sessions whose version a router must know that has heard of the order late.
+ * @property sessionsToAnnounce sessions whose version a router that has heard of the order late must know.
  */
 internal class RollOutAgeExchange(
     private val announcer: RollOutAnnouncer,
@@ -56,16 +56,10 @@
             return logGain(rollOut, rollOut.age.confirm(stated, now), "$sender")
         }
         logGain(rollOut, rollOut.age.recordAtLeast(stated, now), "$sender")
-        // Another router that has only read the stored age must not take it for that of a router that followed the roll-out.
+        // An answer tells that this router has followed the roll-out.
         if (rollOut.age.isProvisional) return
-        val sessions =
-            if (ownAge - stated >
-                LATE_HEARING
-            ) {
-                sessionsToAnnounce(rollOut).take(MAX_SESSIONS)
-            } else {
-                emptyList()
-            }
+        val isLate = ownAge - stated > LATE_HEARING
+        val sessions = if (isLate) sessionsToAnnounce(rollOut).take(MAX_SESSIONS) else emptyList()
         announcer.answerRollOut(sender, statementOf(rollOut, asks = false), sessions)
     }
 
