Let two routers of each failure domain read the store, the others ask them

Ruled out: datagrams (a list doesn't fit), one reader for the fleet (a domain that is cut off would be blind), stale reads (prove nothing about keys).

Change: routers state their failure domain and link in their entries; the two with the widest links of each domain read, the others long-poll one of them (GET /state) and pause their own watches. Confirmations of the configuration are passed on with their age. A lost reader is passed over, and a router that finds none reads for itself from the revisions that it knows. While the store is away only the configuration's watcher tests it. Domains of fewer than four routers work as before. The calls are counted and logged every 15 s.

Tests of gateway, decision, platform and model pass. KindWatcherTest passes a history in place of the kind, which the watcher now keeps.

--- a/decision/src/main/kotlin/dev/almondhaven/decision/traffic/ConfigurationAge.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/traffic/ConfigurationAge.kt
@@ -18,14 +18,19 @@
     private var confirmedWallMillis = 0L
     private var isConfirmed = false
 
-    /** Records that a linearizable read, sent at these times, returned the configuration in force. */
+    /**
+     * Records that a linearizable read, sent at these times, returned the configuration in force. Returns false, and
+     * records nothing, if a later one is recorded already.
+     */
     public fun confirm(
         steadyNanos: Long,
         wallMillis: Long,
-    ) {
+    ): Boolean {
+        if (isConfirmed && steadyNanos - confirmedNanos < 0) return false
         confirmedNanos = steadyNanos
         confirmedWallMillis = wallMillis
         isConfirmed = true
+        return true
     }
 
     /** Time since the last confirmation; infinite before the first one. */
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/Gateway.kt
@@ -1,5 +1,7 @@
 package dev.almondhaven.gateway
 
+import dev.almondhaven.decision.distribution.RelayCandidate
+import dev.almondhaven.decision.distribution.RelaySelection
 import dev.almondhaven.decision.traffic.EndpointPlacement
 import dev.almondhaven.decision.traffic.ModelCascade
 import dev.almondhaven.gateway.call.BufferedBytes
@@ -8,8 +10,13 @@
 import dev.almondhaven.gateway.call.Watchdog
 import dev.almondhaven.gateway.net.CallerServer
 import dev.almondhaven.gateway.peer.PeerMessenger
+import dev.almondhaven.gateway.relay.HttpRelayConnector
+import dev.almondhaven.gateway.relay.RelayHandler
+import dev.almondhaven.gateway.relay.RelaySource
+import dev.almondhaven.gateway.relay.StateFollower
 import dev.almondhaven.gateway.state.ConfigurationWatcher
 import dev.almondhaven.gateway.state.HttpStoreClient
+import dev.almondhaven.gateway.state.KindHistory
 import dev.almondhaven.gateway.state.KindWatcher
 import dev.almondhaven.gateway.state.Lifecycle
 import dev.almondhaven.gateway.state.PromptQuarantineController
@@ -24,7 +31,9 @@
 import dev.almondhaven.platform.StoreChange
 import dev.almondhaven.platform.StoreKind
 import dev.almondhaven.platform.StoredObject
+import dev.almondhaven.traffic.CallerLimits
 import dev.almondhaven.traffic.NodeSettings
+import dev.almondhaven.traffic.RouterEntry
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.netty.channel.Channel
 import io.netty.channel.MultiThreadIoEventLoopGroup
@@ -57,7 +66,33 @@
     private val kindWatchers = ArrayList<KindWatcher>()
     private val store = HttpStoreClient(loop, settings.storeAddress, clock)
     private val configurationWatcher =
-        ConfigurationWatcher(settings.bounds, store, loop, clock, ::configure, ::catchUpTo)
+        ConfigurationWatcher(
+            settings.bounds,
+            store,
+            loop,
+            clock,
+            ::configure,
+            ::catchUpTo,
+            retryDelay = ::storeRetryDelay,
+            onConfirmed = { relayHandler.answerAll() },
+        )
+    private val relayHandler: RelayHandler = RelayHandler(Relay(), loop, clock)
+    private val ownEntry = RouterEntry(settings.peerAddress, settings.failureDomain, settings.linkMegabits)
+    private val follower =
+        StateFollower(
+            RelaySelection(relayCandidate(settings.name, ownEntry)),
+            HttpRelayConnector(loop),
+            configurationWatcher,
+            kindWatchers,
+            loop,
+            clock,
+            random,
+            { routing.isLoaded },
+            ::recordStoreRecovery,
+        )
+
+    /** Monotonic time in nanoseconds at which the store recovered, as a router that this one follows saw it. */
+    private var relayedRecoveryAt: Long? = null
     private val peers = PeerMessenger(group, settings.peerAddress, loop, clock, routing, random)
     private val rollOuts =
         RollOutController(
@@ -98,6 +133,8 @@
             bufferedBytes,
         )
     private val callerServer = CallerServer(group, routing::limits, lifecycle::isStopping, CallHandler(context))
+    private val relayServer =
+        CallerServer(group, { CallerLimits.BEFORE_CONFIGURATION }, lifecycle::isStopping, relayHandler)
     private val readinessServer = CallerServer(group, routing::limits, { false }, ReadinessHandler(::isReady))
 
     private fun isReady(): Boolean = !lifecycle.isStopping && routing.isLoaded && configurationWatcher.isFresh
@@ -110,6 +147,7 @@
         callerPort = (listenForCallers().localAddress() as InetSocketAddress).port
         readinessServer.listen(settings.readyAddress)
         peers.listen()
+        relayServer.listen(settings.peerAddress)
         loop.execute {
             peers.onSession = rollOuts::applyAnnouncement
             peers.onCanary = rollOuts::applyCanary
@@ -126,6 +164,7 @@
             follow(StoreKind.PROMPT_QUARANTINES, promptQuarantine::replaceStored, promptQuarantine::updateStored)
             rollOuts.start()
             register()
+            loop.scheduleAtFixedRate(::logStoreCalls, CALL_LOG_SECONDS, CALL_LOG_SECONDS, TimeUnit.SECONDS)
         }
         LogEvent.ROUTER_STARTED.log(logger) {
             "router=${settings.name} domain=${settings.failureDomain} address=${settings.callerAddress}"
@@ -148,17 +187,22 @@
         val onLoaded = { entries: List<StoredObject> ->
             onList(entries)
             routing.markListed(kind)
+            relayHandler.onChange()
+        }
+        val onChanged = { changes: List<StoreChange> ->
+            onChanges(changes)
+            relayHandler.onChange()
         }
         val watcher =
             KindWatcher(
-                kind,
+                KindHistory(kind),
                 store,
                 loop,
                 random,
                 batchDelayOf(kind),
                 catchUpIntervalOf(kind),
                 onLoaded,
-                onChanges,
+                onChanged,
             )
         kindWatchers += watcher
         watcher.start()
@@ -211,10 +255,33 @@
 
     /** When an entry that is now missing is removed: at once, unless the store has recovered recently. */
     private fun removalTime(): Long {
-        val recoveredAt = store.recoveredAt ?: return clock.nanos()
+        val recoveredAt = listOfNotNull(store.recoveredAt, relayedRecoveryAt).maxOrNull() ?: return clock.nanos()
         return maxOf(clock.nanos(), recoveredAt + RoutingState.RELISTING_GRACE.inWholeNanoseconds)
     }
 
+    private fun recordStoreRecovery(sinceRecovery: Duration) {
+        relayedRecoveryAt = clock.nanos() - sinceRecovery.inWholeNanoseconds
+    }
+
+    /** What this router passes on to routers that follow it. */
+    private inner class Relay : RelaySource {
+        override val histories: List<KindHistory>
+            get() = kindWatchers.map { it.history } + configurationWatcher.history
+        override val isReader: Boolean get() = !lifecycle.isStopping && routing.isLoaded && follower.isReading
+        override val confirmationAge: Duration get() = configurationWatcher.confirmationAge()
+        override val sinceRecovery: Duration? get() = store.recoveredAt?.let { clock.elapsed(it) }
+    }
+
+    /** Followers that read the store while it is away test it less often than the routers that read for them. */
+    private fun storeRetryDelay(): Duration =
+        if (follower.isFallback) {
+            FOLLOWER_STORE_RETRY_DELAY + FOLLOWER_STORE_RETRY_DELAY * random.nextDouble()
+        } else {
+            ConfigurationWatcher.RETRY_DELAY
+        }
+
+    private fun logStoreCalls(): Unit = LogEvent.STORE_CALLS_COUNTED.log(logger) { "${store.callCounts}" }
+
     private fun evacuationsListed(entries: List<StoredObject>) {
         routing.evacuatedDomains = entries.filterNot { it.removed }.map { it.name }.toSet()
         LogEvent.EVACUATIONS_CHANGED.log(logger) { "domains=${routing.evacuatedDomains}" }
@@ -243,11 +310,11 @@
 
     private fun decodeRollOut(entry: StoredObject) = unreadableRollOuts.read(entry, StoredObject::asRollOut)
 
-    private val routers = HashMap<String, String?>()
+    private val routers = HashMap<String, RouterEntry?>()
 
     private fun routersListed(entries: List<StoredObject>) {
         routers.clear()
-        entries.forEach { routers[it.name] = it.asPeer() }
+        entries.forEach { routers[it.name] = it.asRouter() }
         updateRouters()
     }
 
@@ -258,7 +325,7 @@
                     it.entry.name,
                 )
             } else {
-                routers[it.entry.name] = it.entry.asPeer()
+                routers[it.entry.name] = it.entry.asRouter()
             }
         }
         updateRouters()
@@ -267,25 +334,32 @@
     private fun updateRouters() {
         val names = (routers.keys + settings.name).sorted()
         routing.setRouters(names.size, names.indexOf(settings.name))
-        peers.setPeers(routers.values.filterNotNull().filter { it != settings.peerAddress })
+        peers.setPeers(routers.values.mapNotNull { it?.peerAddress }.filter { it != settings.peerAddress })
         rollOuts.routersChanged()
+        val candidates = routers.mapNotNull { (name, entry) -> entry?.let { relayCandidate(name, it) } }
+        loop.execute { follower.setRouters(candidates) }
     }
 
+    private fun relayCandidate(
+        name: String,
+        entry: RouterEntry,
+    ) = RelayCandidate(name, entry.peerAddress, entry.failureDomain, entry.linkMegabits)
+
     /** Registers this router in the list through which the routers find each other and count who shares the bounds. */
     private fun register() {
-        store.call(StoreCall.register(settings.name, settings.peerAddress), REGISTER_TIMEOUT) { response ->
+        store.call(StoreCall.register(settings.name, ownEntry), REGISTER_TIMEOUT) { response ->
             when (response?.status) {
                 null -> loop.schedule(::register, REGISTER_RETRY_DELAY.inWholeMilliseconds, TimeUnit.MILLISECONDS)
-                StoreCall.CONFLICT -> StoreCall.entry(response.body)?.let(::updateAddress)
+                StoreCall.CONFLICT -> StoreCall.entry(response.body)?.let(::updateEntry)
                 else -> Unit
             }
         }
     }
 
-    /** Updates the address in an entry that another VM created under this router's name. */
-    private fun updateAddress(held: StoredObject) {
-        if (held.asPeer() == settings.peerAddress) return
-        store.call(StoreCall.updatePeerAddress(held, settings.peerAddress), REGISTER_TIMEOUT) { response ->
+    /** Updates an entry that another VM or an earlier version created under this router's name. */
+    private fun updateEntry(held: StoredObject) {
+        if (held.asRouter() == ownEntry) return
+        store.call(StoreCall.updateRouter(held, ownEntry), REGISTER_TIMEOUT) { response ->
             if (response == null) {
                 loop.schedule(::register, REGISTER_RETRY_DELAY.inWholeMilliseconds, TimeUnit.MILLISECONDS)
             }
@@ -340,6 +414,8 @@
 
         /** Routers and quarantines are also heard of from peers. */
         private val CATCH_UP_INTERVAL = 10.seconds
+        private val FOLLOWER_STORE_RETRY_DELAY = 1_000.milliseconds
+        private const val CALL_LOG_SECONDS = 15L
         private val REGISTER_TIMEOUT = 1_000.milliseconds
         private val REGISTER_RETRY_DELAY = 1.seconds
 
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/state/ConfigurationWatcher.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/state/ConfigurationWatcher.kt
@@ -3,7 +3,9 @@
 import dev.almondhaven.decision.traffic.ConfigurationAge
 import dev.almondhaven.model.LogEvent
 import dev.almondhaven.model.NanoClock
+import dev.almondhaven.platform.RelayedKind
 import dev.almondhaven.platform.StoreCall
+import dev.almondhaven.platform.StoreChanges
 import dev.almondhaven.platform.StoreKind
 import dev.almondhaven.platform.StoredObject
 import dev.almondhaven.traffic.TrafficBounds
@@ -20,9 +22,11 @@
  * Follows the configuration and confirms how recent the known one is, both by a series of short watches. A watch that
  * ends without a change after its full duration confirms that the known configuration was current until then; any other
  * response confirms it only for the time at which its call was sent. A call that times out is followed by reads.
- * Requests with API keys are served only while the last confirmation is recent enough. Must be used on the event loop
- * only.
+ * Requests with API keys are served only while the last confirmation is recent enough. While another router passes the
+ * configuration and its confirmations on, the watcher is paused. Must be used on the event loop only.
  *
+ * @property retryDelay pause after a read that failed.
+ * @property onConfirmed called when the configuration has been confirmed anew.
  * @property onRevision called with the store's revision, which each response states.
  */
 internal class ConfigurationWatcher(
@@ -33,6 +37,8 @@
     private val onConfiguration: (StoredObject) -> Unit,
     private val onRevision: (Long) -> Unit = {},
     private val wallMillis: () -> Long = System::currentTimeMillis,
+    private val retryDelay: () -> Duration = { RETRY_DELAY },
+    private val onConfirmed: () -> Unit = {},
 ) {
     private class Moment(
         val steadyNanos: Long,
@@ -45,6 +51,14 @@
     private val configurationAge = ConfigurationAge(bounds.revocation - REVOCATION_MARGIN)
     private var wasFresh = false
 
+    /** What is known of the configuration's kind. */
+    val history = KindHistory(StoreKind.CONFIGURATION)
+    private var isPaused = false
+
+    /** Grows with each pause, so that responses and retries from before it are dropped. */
+    private var generation = 0
+    private var cancelCall: () -> Unit = {}
+
     /** Whether the last confirmation is recent enough to serve requests with API keys. */
     val isFresh: Boolean get() = configurationAge.isFresh(clock.nanos(), wallMillis())
 
@@ -52,20 +66,88 @@
 
     fun start(): Unit = read()
 
+    /** Stops calling the store, since another router passes the configuration on. */
+    fun pause() {
+        if (isPaused) return
+        isPaused = true
+        generation++
+        cancelCall()
+    }
+
+    /** Calls the store again; [onReached] is called once, when it has answered. */
+    fun resume(onReached: () -> Unit) {
+        if (!isPaused) return
+        isPaused = false
+        if (!history.isListed) return read(onReached)
+        val sent = now()
+        call(StoreCall.watch(StoreKind.CONFIGURATION, history.revision, Duration.ZERO), READ_TIMEOUT) { response ->
+            val changes = response?.takeIf { it.status == OK }?.let { StoreCall.changes(it.body) }
+            if (changes == null) return@call schedule(READ_DELAY_AFTER_FAILED_WATCH) { read(onReached) }
+            apply(changes)
+            confirm(sent)
+            onReached()
+            watch(changes.revision, watchDuration)
+        }
+    }
+
+    /**
+     * Applies what another router knows of the configuration, which it confirmed [age] before the end of the time
+     * [held] for which it held the request that was sent at [sent].
+     */
+    fun applyRelayed(
+        relayed: RelayedKind?,
+        sent: RelayRequestTime,
+        held: Duration,
+        age: Duration,
+    ) {
+        val list = relayed?.list
+        if (relayed != null && relayed.revision > history.revision) {
+            if (list !=
+                null
+            ) {
+                history.replace(list, relayed.revision)
+            } else {
+                history.add(relayed.changes, relayed.revision)
+            }
+            (list ?: relayed.changes.map { it.entry }).forEach(onConfiguration)
+        }
+        confirm(Moment(sent.steadyNanos, sent.wallMillis).plus(held - age))
+        logFreshnessChange()
+    }
+
+    /** The present time by both clocks. */
+    fun requestTime(): RelayRequestTime = RelayRequestTime(clock.nanos(), wallMillis())
+
+    private fun call(
+        call: StoreCall,
+        timeout: Duration,
+        onResponse: (StoreResponse?) -> Unit,
+    ) {
+        val current = generation
+        cancelCall = store.call(call, timeout) { if (generation == current) onResponse(it) }
+    }
+
+    private fun apply(changes: StoreChanges) {
+        history.add(changes.changed, changes.revision)
+        changes.changed.forEach { onConfiguration(it.entry) }
+    }
+
     private fun now() = Moment(clock.nanos(), wallMillis())
 
-    private fun read() {
+    private fun read(onReached: () -> Unit = {}) {
         val sent = now()
-        store.call(StoreCall.list(StoreKind.CONFIGURATION, after = null), READ_TIMEOUT) { response ->
+        call(StoreCall.list(StoreKind.CONFIGURATION, after = null), READ_TIMEOUT) { response ->
             val page = response?.takeIf { it.status == OK }?.let { StoreCall.page(it.body) }
             val hasConfiguration = page?.objects?.any { it.name == StoreCall.CONFIGURATION_NAME } == true
+            if (page != null && hasConfiguration) history.replace(page.objects, page.revision)
             page?.objects?.forEach(onConfiguration)
             if (hasConfiguration) confirm(sent)
             logFreshnessChange()
             page?.let { onRevision(it.revision) }
             if (page == null || !hasConfiguration) {
-                schedule(RETRY_DELAY, ::read)
+                schedule(retryDelay()) { read(onReached) }
             } else {
+                onReached()
                 watch(page.revision, watchDuration)
             }
         }
@@ -76,13 +158,13 @@
         wait: Duration,
     ) {
         val sent = now()
-        store.call(StoreCall.watch(StoreKind.CONFIGURATION, revision, wait), wait + RESPONSE_TIMEOUT) { response ->
+        call(StoreCall.watch(StoreKind.CONFIGURATION, revision, wait), wait + RESPONSE_TIMEOUT) { response ->
             val changes = response?.takeIf { it.status == OK }?.let { StoreCall.changes(it.body) }
             if (changes == null) {
                 logFreshnessChange()
-                return@call schedule(READ_DELAY_AFTER_FAILED_WATCH, ::read)
+                return@call schedule(READ_DELAY_AFTER_FAILED_WATCH) { read() }
             }
-            changes.changed.forEach { onConfiguration(it.entry) }
+            apply(changes)
             val waitedInFull = clock.elapsed(sent.steadyNanos) >= wait
             val unchanged = changes.changed.isEmpty()
             confirm(if (unchanged && waitedInFull) sent.plus(wait - TIMER_TOLERANCE) else sent)
@@ -96,13 +178,19 @@
         }
     }
 
-    private fun confirm(moment: Moment): Unit = configurationAge.confirm(moment.steadyNanos, moment.wallMillis)
+    /** Confirms the configuration for [moment], unless a later moment is confirmed already. */
+    private fun confirm(moment: Moment) {
+        if (!configurationAge.confirm(moment.steadyNanos, moment.wallMillis)) return
+        onConfirmed()
+    }
 
     private fun schedule(
         delay: Duration,
         action: () -> Unit,
     ) {
-        loop.schedule(action, delay.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+        val current = generation
+        val guarded = { if (generation == current) action() }
+        loop.schedule(guarded, delay.inWholeMilliseconds, TimeUnit.MILLISECONDS)
     }
 
     private fun logFreshnessChange() {
@@ -112,40 +200,42 @@
         event.log(logger) { "age=${confirmationAge()}" }
     }
 
-    private companion object {
-        const val OK = 200
+    companion object {
+        private const val OK = 200
 
         /** The last confirmation outlasts a lost watch and two failed reads after it. */
-        val MAX_WATCH_DURATION = 2.seconds
+        private val MAX_WATCH_DURATION = 2.seconds
 
         /**
          * Share of the drain time after which the store's revision is known again, so that a lost watch of the
          * endpoints is replaced within that time.
          */
-        const val DRAIN_SHARE = 0.6
+        private const val DRAIN_SHARE = 0.6
 
         /**
          * A watch that reports a change confirms less than one that ends without a change, so the next confirmation
          * must come before that one expires.
          */
-        val WATCH_DURATION_AFTER_CHANGE = 500.milliseconds
+        private val WATCH_DURATION_AFTER_CHANGE = 500.milliseconds
 
         /** Upper bound on the difference between the timers of the store and of this router. */
-        val TIMER_TOLERANCE = 50.milliseconds
+        private val TIMER_TOLERANCE = 50.milliseconds
 
         /** A slow store takes some hundred milliseconds to respond. */
-        val READ_TIMEOUT = 700.milliseconds
-        val RESPONSE_TIMEOUT = 700.milliseconds
+        private val READ_TIMEOUT = 700.milliseconds
+        private val RESPONSE_TIMEOUT = 700.milliseconds
+
+        /** Short compared with the lifetime of a confirmation; several routers may test at the same time. */
         val RETRY_DELAY = 250.milliseconds
-        val READ_DELAY_AFTER_FAILED_WATCH = 20.milliseconds
+        private val READ_DELAY_AFTER_FAILED_WATCH = 20.milliseconds
 
         /** Changes arrive in bursts; short compared with the two seconds within which a change must take effect. */
-        val CHANGE_BATCH_DELAY = 150.milliseconds
+        private val CHANGE_BATCH_DELAY = 150.milliseconds
 
         /** Bounds the calls to a store that ends its watches at once. */
-        val EARLY_END_DELAY = 150.milliseconds
+        private val EARLY_END_DELAY = 150.milliseconds
 
         /** Safety margin for the transit time of a request from the router to the endpoint, and for clock drift. */
-        val REVOCATION_MARGIN = 400.milliseconds
+        private val REVOCATION_MARGIN = 400.milliseconds
     }
 }
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/state/KindWatcher.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/state/KindWatcher.kt
@@ -2,9 +2,9 @@
 
 import dev.almondhaven.decision.retry.FullJitterBackoff
 import dev.almondhaven.model.LogEvent
+import dev.almondhaven.platform.RelayedKind
 import dev.almondhaven.platform.StoreCall
 import dev.almondhaven.platform.StoreChange
-import dev.almondhaven.platform.StoreKind
 import dev.almondhaven.platform.StoredObject
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.netty.channel.EventLoop
@@ -19,15 +19,17 @@
 /**
  * Follows one kind of objects: lists them, then watches from the list's revision. Lists again when the store no longer
  * has the history since then. A watch that the store never received, or whose response was lost, looks like one that
- * waits; [catchUp] tells them apart. Must be used on the event loop only.
+ * waits; [catchUp] tells them apart. While another router passes the changes on, it is paused. Must be used on the event
+ * loop only.
  *
  * @property batchDelay pause after a change, so that the next watch returns the changes that follow it together.
  * @property catchUpInterval minimum time between two calls that check whether the watch in flight is lost.
+ * @property history what is known of the kind.
  * @property onList called with a complete list.
  * @property onChanges called with the changes since the list or the previous changes.
  */
 internal class KindWatcher(
-    private val kind: StoreKind,
+    val history: KindHistory,
     private val store: StoreClient,
     private val loop: EventLoop,
     private val random: UniformRandomProvider,
@@ -36,13 +38,11 @@
     private val onList: (List<StoredObject>) -> Unit,
     private val onChanges: (List<StoreChange>) -> Unit,
 ) {
+    private val kind = history.kind
     private val backoff = FullJitterBackoff(INITIAL_BACKOFF, MAX_BACKOFF)
     private var failures = 0
     private var watchedRevision = 0L
 
-    /** Revision of the store up to which all changes of this kind are known. */
-    private var knownRevision = 0L
-
     /** Newest revision that the store is known to have reached. */
     private var storeRevision = 0L
     private var isCatchUpDeferred = false
@@ -50,11 +50,79 @@
     /** Cancels the watch in flight; null if there is none. */
     private var cancelWatch: (() -> Unit)? = null
 
+    /** Whether another router passes the changes on. */
+    private var isPaused = false
+
+    /** Grows with each pause, so that responses and retries from before it are dropped. */
+    private var generation = 0
+
+    /** What is to be called again when the store can be reached; null if nothing waits for that. */
+    private var afterRecovery: (() -> Unit)? = null
+
     fun start() {
-        store.onRecovery(::restartWatch)
+        store.onRecovery(::onRecovery)
         list(after = null, found = emptyList())
     }
 
+    /** Stops calling the store, since another router passes the changes on. */
+    fun pause() {
+        if (isPaused) return
+        isPaused = true
+        generation++
+        cancelWatch?.invoke()
+        cancelWatch = null
+        afterRecovery = null
+    }
+
+    /** Calls the store again, from the revision up to which the changes are known. */
+    fun resume() {
+        if (!isPaused) return
+        isPaused = false
+        failures = 0
+        follow()
+    }
+
+    private fun follow(): Unit =
+        if (history.isListed) watch(history.revision) else list(after = null, found = emptyList())
+
+    /** Applies what another router knows more of this kind, unless this one has learned as much meanwhile. */
+    fun applyRelayed(relayed: RelayedKind) {
+        if (relayed.revision <= history.revision && history.isListed) return
+        val list = relayed.list
+        when {
+            list != null -> replace(list, relayed.revision)
+            history.isListed -> add(relayed.changes, relayed.revision)
+        }
+    }
+
+    private fun replace(
+        list: List<StoredObject>,
+        revision: Long,
+    ) {
+        history.replace(list, revision)
+        apply { onList(list) }
+    }
+
+    private fun add(
+        changes: List<StoreChange>,
+        revision: Long,
+    ) {
+        history.add(changes, revision)
+        if (changes.isNotEmpty()) apply { onChanges(changes) }
+    }
+
+    /** Runs [action] unless the watcher has been paused since this function was called. */
+    private fun unlessPaused(action: () -> Unit): () -> Unit {
+        val current = generation
+        return { if (generation == current) action() }
+    }
+
+    private fun onRecovery() {
+        val waiting = afterRecovery
+        afterRecovery = null
+        if (waiting != null) waiting() else restartWatch()
+    }
+
     /**
      * Replaces a watch that was started before or during a failure of the store, since the store may never respond to
      * it.
@@ -71,7 +139,7 @@
      */
     fun catchUp(revision: Long) {
         storeRevision = maxOf(storeRevision, revision)
-        if (storeRevision <= knownRevision || isCatchUpDeferred || cancelWatch == null) return
+        if (storeRevision <= history.revision || isCatchUpDeferred || cancelWatch == null) return
         isCatchUpDeferred = true
         val since = watchedRevision
         store.call(StoreCall.watch(kind, since, Duration.ZERO), CALL_TIMEOUT) { response ->
@@ -90,7 +158,7 @@
         val isBehind = response?.status == StoreCall.REVISION_EXPIRED || changes?.changed?.isNotEmpty() == true
         if (!isBehind) {
             // A call that failed proves nothing; it is repeated after the interval.
-            if (changes != null) knownRevision = maxOf(knownRevision, changes.revision)
+            if (changes != null) history.advance(changes.revision)
             return
         }
         LogEvent.STORE_WATCH_REPLACED.log(logger) { "kind=$kind revision=$since store=$storeRevision" }
@@ -108,14 +176,15 @@
         after: String?,
         found: List<StoredObject>,
     ) {
+        val current = generation
         store.call(StoreCall.list(kind, after), CALL_TIMEOUT) { response ->
+            if (generation != current) return@call
             val page = response?.takeIf { it.status == OK }?.let { StoreCall.page(it.body) }
             if (page == null) return@call retry(response) { list(after = null, found = emptyList()) }
             failures = 0
             val all = found + page.objects
             if (page.next != null) return@call list(page.next, all)
-            apply { onList(all) }
-            knownRevision = page.revision
+            replace(all, page.revision)
             watch(page.revision)
         }
     }
@@ -144,10 +213,9 @@
         val changes = response?.takeIf { it.status == OK }?.let { StoreCall.changes(it.body) }
         if (changes == null) return retry(response) { watch(revision) }
         failures = 0
-        knownRevision = changes.revision
-        if (changes.changed.isNotEmpty()) apply { onChanges(changes.changed) }
+        add(changes.changed, changes.revision)
         // Changes arrive in bursts; after a short pause one call returns the rest of a burst.
-        loop.schedule({ watch(changes.revision) }, batchDelay.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+        schedule(batchDelay) { watch(changes.revision) }
     }
 
     /** Applies what the store returned. If that fails, later changes are still followed. */
@@ -169,8 +237,23 @@
                 logger,
             ) { "kind=$kind status=${response.status} body=${response.body.take(LOGGED_BODY_CHARS)}" }
         }
-        val pause = backoff.delay(failures, random) + MIN_RETRY_DELAY
-        loop.schedule(action, pause.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+        if (store.isReachable) return schedule(backoff.delay(failures, random) + MIN_RETRY_DELAY, action)
+        // The watcher of the configuration tests whether the store is back; one call at a time is enough for that.
+        val retry = unlessPaused(action)
+        afterRecovery = retry
+        schedule(LONGEST_WAIT_FOR_RECOVERY) {
+            if (afterRecovery === retry) {
+                afterRecovery = null
+                retry()
+            }
+        }
+    }
+
+    private fun schedule(
+        delay: Duration,
+        action: () -> Unit,
+    ) {
+        loop.schedule(unlessPaused(action), delay.inWholeMilliseconds, TimeUnit.MILLISECONDS)
     }
 
     private companion object {
@@ -185,6 +268,9 @@
         val MIN_RETRY_DELAY = 50.milliseconds
         val INITIAL_BACKOFF = 200.milliseconds
 
+        /** The recovery is usually noticed by other calls, within half a second. */
+        val LONGEST_WAIT_FOR_RECOVERY = 3.seconds
+
         /** A recovered store is detected soon enough to catch up within the bounds on configuration changes. */
         val MAX_BACKOFF = 500.milliseconds
     }
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/state/StoreClient.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/state/StoreClient.kt
@@ -5,6 +5,12 @@
 
 /** Client of the platform's store. */
 internal interface StoreClient {
+    /** Whether the latest call reached the store; true before the first one. */
+    val isReachable: Boolean
+
+    /** The calls that were made. */
+    val callCounts: StoreCallCounts
+
     /** Monotonic time in nanoseconds at which the store last recovered from a failure; null if it has never failed. */
     val recoveredAt: Long?
 
--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/state/KindWatcherTest.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/state/KindWatcherTest.kt
@@ -19,7 +19,7 @@
     private val random = RandomSource.SPLIT_MIX_64.create(1L)
     private val watcher =
         KindWatcher(
-            StoreKind.EVACUATIONS,
+            KindHistory(StoreKind.EVACUATIONS),
             store,
             channel.eventLoop(),
             random,
--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/state/RollOutFleet.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/state/RollOutFleet.kt
@@ -296,6 +296,8 @@
         private fun storeClient() =
             object : StoreClient {
                 override val recoveredAt: Long? = null
+                override val isReachable = true
+                override val callCounts = StoreCallCounts()
 
                 override fun onRecovery(action: () -> Unit) = Unit
 
--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/state/ScriptedStoreClient.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/state/ScriptedStoreClient.kt
@@ -17,12 +17,15 @@
     val calls = ArrayList<PendingCall>()
     private val recoveryActions = ArrayList<() -> Unit>()
     override val recoveredAt: Long? = null
+    override var isReachable = true
+    override val callCounts = StoreCallCounts()
 
     override fun call(
         call: StoreCall,
         timeout: Duration,
         onResponse: (StoreResponse?) -> Unit,
     ): () -> Unit {
+        callCounts.count(call)
         val pending = PendingCall(call.path, timeout, onResponse).also { calls += it }
         return { pending.isCancelled = true }
     }
--- a/model/src/main/kotlin/dev/almondhaven/traffic/NodeSettings.kt
+++ b/model/src/main/kotlin/dev/almondhaven/traffic/NodeSettings.kt
@@ -10,7 +10,8 @@
  * @property callerAddress `ip:port` that serves callers.
  * @property readyAddress `ip:port` that answers the readiness checks of the load balancer.
  * @property storeAddress `ip:port` of the platform's store.
- * @property peerAddress `ip:port` that receives datagrams from other routers.
+ * @property peerAddress `ip:port` that receives datagrams and relay requests from other routers.
+ * @property linkMegabits bandwidth of the VM's network link in Mbit/s; 0 if not stated.
  */
 public data class NodeSettings(
     public val name: String,
@@ -20,4 +21,5 @@
     public val storeAddress: String,
     public val peerAddress: String,
     public val bounds: TrafficBounds,
+    public val linkMegabits: Double = 0.0,
 )
