Wait for a silent engine while the stream could still go on elsewhere in time

Ruled out: a load that is too high (the median backlog was below 100 ms), slow engines alone (the game service has them too).

Change: StallPolicy waits as long as the stream could go on elsewhere within the pause that its route allows, and before the first event for half of what is left of the objective; never shorter than before, and as before where the route states no pause.

--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Attempt.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Attempt.kt
@@ -1,6 +1,7 @@
 package dev.almondhaven.gateway.call
 
 import dev.almondhaven.decision.traffic.PromptAdmission
+import dev.almondhaven.decision.traffic.StallPolicy
 import dev.almondhaven.gateway.net.HeadAction
 import dev.almondhaven.gateway.net.OutboundCall
 import dev.almondhaven.gateway.net.OutboundListener
@@ -61,6 +62,9 @@
 
     private val endpointState = endpoint.state
     private val startedAt = context.clock.nanos()
+
+    /** What was left of the latency objective when the attempt started. */
+    private val timeToObjective = call.route.latencyObjective - context.clock.elapsed(call.request.receivedAt)
     private var stage = Stage.WAITING
     private var outbound: OutboundCall? = null
     private var prefillMillis = 0.0
@@ -480,25 +484,51 @@
         }
         val since = if (firstResponseMillis == null) startedAt else lastEventAt
         val silence = (now - since).nanoseconds
-        val limit = if (firstResponseMillis == null) firstResponseTimeout() else eventGapTimeout(now)
-        val endpointSilence = (now - maxOf(endpoint.lastReceivedAt, startedAt)).nanoseconds
-        if (silence < limit) return
+        if (silence < shortestTimeout(now)) return
         if (!call.route.isRetryable) return countSilence()
+        if (silence < timeout(now)) return
+        val endpointSilence = (now - maxOf(endpoint.lastReceivedAt, startedAt)).nanoseconds
         val endpointAlive = call.route.kind == RequestKind.STREAMING && endpointSilence < ENDPOINT_ALIVE_WINDOW
         if (endpointAlive && silence < MAX_EVENT_GAP) return
         if (!exchange.canRetry()) return countSilence()
         abandon("silent for $silence")
     }
 
-    /**
-     * An engine pauses between the events of other streams during the prefill of a long prompt; any other engine counts
-     * as stalled sooner.
-     */
-    private fun eventGapTimeout(now: Long): Duration =
-        if (endpointState.prefillBacklogMillis(now) > DELAYING_PREFILL_MILLIS) {
-            EVENT_GAP_TIMEOUT_DURING_PREFILL
+    /** A silence that never counts as a stall. */
+    private fun shortestTimeout(now: Long): Duration =
+        when {
+            call.demand.promptTokens == 0 -> {
+                plainTimeout()
+            }
+
+            firstResponseMillis == null -> {
+                StallPolicy.shortestFirstEventTimeout(
+                    endpointState.prefillBacklogMillis(now),
+                )
+            }
+
+            else -> {
+                StallPolicy.shortestEventTimeout(endpointState.prefillBacklogMillis(now))
+            }
+        }
+
+    /** The silence after which the request goes to another endpoint. */
+    private fun timeout(now: Long): Duration {
+        if (call.demand.promptTokens == 0) return plainTimeout()
+        val backlog = endpointState.prefillBacklogMillis(now)
+        val elsewhere = exchange.expectedMillisElsewhere(this)
+        return if (firstResponseMillis == null) {
+            StallPolicy.firstEventTimeout(timeToObjective, backlog, elsewhere)
+        } else {
+            StallPolicy.eventTimeout(call.route.eventGapObjective, backlog, elsewhere)
+        }
+    }
+
+    private fun plainTimeout(): Duration =
+        if (firstResponseMillis == null) {
+            (call.route.latencyObjective * OBJECTIVES_UNTIL_RETRY).coerceAtLeast(MIN_FIRST_RESPONSE_TIMEOUT)
         } else {
-            EVENT_GAP_TIMEOUT
+            StallPolicy.shortestEventTimeout(0.0)
         }
 
     /**
@@ -511,14 +541,6 @@
         recordFailure()
     }
 
-    private fun firstResponseTimeout(): Duration =
-        if (call.demand.promptTokens > 0) {
-            FIRST_EVENT_TIMEOUT +
-                endpointState.prefillBacklogMillis(context.clock.nanos()).milliseconds * PREFILL_SAFETY_FACTOR
-        } else {
-            (call.route.latencyObjective * OBJECTIVES_UNTIL_RETRY).coerceAtLeast(MIN_FIRST_RESPONSE_TIMEOUT)
-        }
-
     override fun toString(): String =
         "endpoint=${endpointState.listing.id} version=${endpointState.listing.version} model=$model " +
             "unread=$uncachedTokens readingMillis=${prefillMillis.toInt()} " +
@@ -555,21 +577,6 @@
          */
         val MAX_IDLE_NON_RETRYABLE = 1.seconds
 
-        /**
-         * A decode step of a busy engine takes tens of milliseconds; the estimated prefill time is multiplied by a
-         * safety factor.
-         */
-        val FIRST_EVENT_TIMEOUT = 700.milliseconds
-        const val PREFILL_SAFETY_FACTOR = 2.0
-
-        /**
-         * Several decode steps of a busy engine; short enough to resume at another endpoint before callers count the
-         * gap as late.
-         */
-        val EVENT_GAP_TIMEOUT = 350.milliseconds
-        val EVENT_GAP_TIMEOUT_DURING_PREFILL = 600.milliseconds
-        const val DELAYING_PREFILL_MILLIS = 150.0
-
         /** An engine that has sent anything on any of its connections within this time is not stalled. */
         val ENDPOINT_ALIVE_WINDOW = 300.milliseconds
         val MAX_EVENT_GAP = 4_000.milliseconds
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Exchange.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Exchange.kt
@@ -173,6 +173,13 @@
             selector.placementRequest(call.demand, model),
         )
 
+    /** Expected milliseconds until another endpoint than that of [attempt] begins its response. */
+    fun expectedMillisElsewhere(attempt: Attempt): Double =
+        selector.expectedMillis(
+            selector.eligibleEndpoints(call, versions()) - attempt.endpoint,
+            selector.placementRequest(call.demand, attempt.model ?: call.demand.model),
+        )
+
     private fun versions(): VersionConstraint = context.rollOuts.versionFor(call.service, call.demand.session, call.id)
 
     fun onAttemptEnd(
