Learn how fast each endpoint is from the pace of its streams

Cause: one reading speed for a whole service, which followed its fastest sample, so that engines at 0.55 of the usual speed were taken for fast ones. Ruled out: the time to the first event (queueing and cache hits of others), load reports (say how much waits, not how fast it goes), summaries of other routers (one stream of thirty events tells the pace).

Change: EndpointSpeed, the pace of an engine's streams against the service's running median for the model; between 0.85 and 1.15 it counts as usual, so that services of like engines are placed as before. Not learned from cold or just started engines, nor from streams that were paused for their caller.

--- a/decision/src/main/kotlin/dev/almondhaven/decision/traffic/EndpointPlacement.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/traffic/EndpointPlacement.kt
@@ -88,7 +88,8 @@
         now: Long,
     ): Double {
         val load = endpoint.requests(now).toDouble() / endpoint.listing.slots
-        val queueing = endpoint.waiting(now) * QUEUED_REQUEST_MILLIS
+        val slowness = endpoint.speed.slowness
+        val queueing = endpoint.waiting(now) * QUEUED_REQUEST_MILLIS * slowness
         val batchSlowdown =
             if (load > NEARLY_FULL_LOAD) {
                 (load - NEARLY_FULL_LOAD) * OVERLOAD_MILLIS
@@ -96,7 +97,7 @@
                 load * FULL_BATCH_MILLIS
             }
         return prefillMillis(endpoint, isPreferred, request) + endpoint.prefillBacklogMillis(now) + queueing +
-            batchSlowdown
+            batchSlowdown * slowness
     }
 
     private fun prefillMillis(
@@ -109,7 +110,7 @@
         val cached = endpoint.prefixCache.cachedTokens(request.model, request.promptParts)
         val assumedCached = if (isPreferred) maxOf(cached, shared.sumOf { it.tokens }) else cached
         val uncached = (request.promptTokens - assumedCached).coerceAtLeast(0)
-        return endpoint.prefillSpeed.estimateMillis(request.model, uncached)
+        return endpoint.prefillMillis(request.model, uncached)
     }
 
     /** Expected milliseconds to the first token at the best of [candidates]; infinite if there are none. */
--- a/decision/src/main/kotlin/dev/almondhaven/decision/traffic/EndpointView.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/traffic/EndpointView.kt
@@ -13,6 +13,7 @@
  *
  * @property listing the endpoint's latest entry in the platform's list.
  * @property prefillSpeed estimate that all endpoints of a service share.
+ * @param typicalPace the pace that all endpoints of a service share as a reference.
  * @param warmUpShare this router's current part of the rate that the endpoint bears while it is cold.
  * @param statedShare this router's current part of a rate that the endpoint states.
  */
@@ -22,6 +23,7 @@
     kvCacheTokens: Long,
     public val prefillSpeed: PrefillSpeed,
     now: Long,
+    typicalPace: TypicalPace = TypicalPace(),
     warmUpShare: () -> RateShare = { RateShare.UNLIMITED },
     statedShare: (perSecond: Double) -> RateShare = { RateShare(it, it, routers = 1, position = 0) },
 ) {
@@ -34,6 +36,7 @@
     public val remotePrefills: RemotePrefills = RemotePrefills()
 
     public val failureRate: FailureRate = FailureRate()
+    public val speed: EndpointSpeed = EndpointSpeed(typicalPace)
 
     /** Requests of this router that were sent and have not ended. */
     public var inFlight: Int = 0
@@ -59,6 +62,7 @@
         if (newListing.startedAtMillis != listing.startedAtMillis) {
             prefixCache.clear()
             rateLimit.clear()
+            speed.clear()
             startSeenAt = now
         }
         listing = newListing
@@ -106,6 +110,28 @@
         prefillBacklogMillis(now) < SHORT_BACKLOG_MILLIS && waiting(now) == 0 &&
             requests(now) * UNCONTENDED_SLOTS_DIVISOR <= listing.slots
 
+    /** Estimated milliseconds that this endpoint takes to prefill [tokens] uncached tokens for [model]. */
+    public fun prefillMillis(
+        model: String,
+        tokens: Int,
+    ): Double = prefillSpeed.estimateMillis(model, tokens) * speed.slowness
+
+    /** Records that a request with [tokens] uncached prompt tokens took [millis] to its first event. */
+    public fun recordFirstEvent(
+        model: String,
+        tokens: Int,
+        millis: Double,
+    ): Unit = prefillSpeed.record(model, tokens, millis / speed.slowness)
+
+    /** Records the pace of a stream of [model], unless the endpoint has just started. */
+    public fun recordPace(
+        model: String,
+        millis: Double,
+        now: Long,
+    ) {
+        if (isWarm(now)) speed.record(model, millis)
+    }
+
     /** Records a successful response. */
     public fun recordSuccess(now: Long) {
         health.recordSuccess()
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Attempt.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Attempt.kt
@@ -2,6 +2,7 @@
 
 import dev.almondhaven.decision.traffic.PromptAdmission
 import dev.almondhaven.decision.traffic.StallPolicy
+import dev.almondhaven.decision.traffic.StreamPace
 import dev.almondhaven.gateway.net.HeadAction
 import dev.almondhaven.gateway.net.OutboundCall
 import dev.almondhaven.gateway.net.OutboundListener
@@ -20,6 +21,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaders
 import java.io.ByteArrayOutputStream
+import java.util.Locale
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.nanoseconds
@@ -79,6 +81,9 @@
     private var discardedBytes = 0
     private var status = 0
     private var signature: String? = null
+
+    /** How long work took on the endpoint's machine when it answered, in per cent of the usual; null if not stated. */
+    private var machinePercent: Int? = null
     private var headers: List<Pair<String, String>> = emptyList()
 
     /** Whether the end of the connection is the end of the response. */
@@ -88,6 +93,10 @@
     /** Whether nothing is read from the endpoint, since the caller has yet to read what was passed on. */
     private var isPaused = false
 
+    /** Whether reading was ever paused, so that the times of the events tell nothing of the endpoint. */
+    private var wasPaused = false
+    private val pace = StreamPace()
+
     /** Events that the endpoint has sent, including those that the caller already had. */
     private var eventCount = 0
 
@@ -112,7 +121,7 @@
             val cachedTokens =
                 endpointState.prefixCache.cachedTokens(placementRequest.model, placementRequest.promptParts)
             uncachedTokens = (placementRequest.promptTokens - cachedTokens).coerceAtLeast(0)
-            prefillMillis = endpointState.prefillSpeed.estimateMillis(placementRequest.model, uncachedTokens)
+            prefillMillis = endpointState.prefillMillis(placementRequest.model, uncachedTokens)
             endpointState.prefixCache.recordPrefill(placementRequest.model, placementRequest.promptParts)
         }
         tellsSpeed = endpointState.isWarm(now) && endpointState.isUncontended(now)
@@ -164,6 +173,7 @@
         // The endpoint was not silent for as long as nothing was read from it.
         if (isPaused && enabled) lastEventAt = context.clock.nanos()
         isPaused = !enabled
+        wasPaused = wasPaused || isPaused
         outbound?.setAutoRead(enabled)
     }
 
@@ -184,7 +194,10 @@
             return HeadAction.TAKE
         }
         context.placement.reachability.recordReached(endpointState.listing.failureDomain)
-        signals.load?.let { endpointState.recordLoad(it, context.clock.nanos()) }
+        signals.load?.let {
+            machinePercent = it.machinePercent
+            endpointState.recordLoad(it, context.clock.nanos())
+        }
         recordRateLimit(signals.requestsPerSecond)
         signals.coldLeft?.let {
             val now = context.clock.nanos()
@@ -277,7 +290,7 @@
         recordFirstResponse()
         endPrefill()
         firstResponseMillis?.let {
-            endpointState.prefillSpeed.record(model ?: call.demand.model.orEmpty(), uncachedTokens, it)
+            endpointState.recordFirstEvent(model ?: call.demand.model.orEmpty(), uncachedTokens, it)
         }
         val larger = exchange.chooseLargerModel(this, signals.confidence)
         if (larger != null) {
@@ -314,6 +327,7 @@
     /** Passes complete events on. Bytes that complete none are no progress: a stalled endpoint may trickle them. */
     private fun passOn(chunk: ByteArray) {
         val events = splitter.append(chunk)
+        if (eventCount > 0) pace.record((context.clock.nanos() - lastEventAt) / NANOS_PER_MILLI, events.size)
         if (events.isNotEmpty()) lastEventAt = context.clock.nanos()
         if (events.isNotEmpty() && eventCount == 0) context.promptQuarantine.recordAnswer(call.demand.sharedParts)
         eventCount += events.size
@@ -445,6 +459,10 @@
     }
 
     private fun recordSuccess() {
+        val paceMillis = pace.medianMillis
+        if (paceMillis != null && !wasPaused) {
+            endpointState.recordPace(model ?: call.demand.model.orEmpty(), paceMillis, context.clock.nanos())
+        }
         endpointState.recordSuccess(context.clock.nanos())
     }
 
@@ -543,10 +561,15 @@
 
     override fun toString(): String =
         "endpoint=${endpointState.listing.id} version=${endpointState.listing.version} model=$model " +
-            "unread=$uncachedTokens readingMillis=${prefillMillis.toInt()} " +
+            "unread=$uncachedTokens readingMillis=${prefillMillis.toInt()} slowness=${describe(
+                endpointState.speed.slowness,
+            )} " +
+            "machinePercent=$machinePercent " +
             "attemptMillis=${firstResponseMillis?.toInt()} attemptEvents=$eventCount " +
             "connection=${outbound?.sendNumber} status=$status signature=$signature"
 
+    private fun describe(factor: Double): String = String.format(Locale.ROOT, "%.2f", factor)
+
     private companion object {
         val SUCCESS = 200..299
 
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/state/RoutingState.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/state/RoutingState.kt
@@ -161,6 +161,7 @@
                     kvCacheTokens,
                     serviceEndpoints(listing.service).prefillSpeed,
                     clock.nanos(),
+                    serviceEndpoints(listing.service).typicalPace,
                     { warmUpShare(listing) },
                     { statedShare(listing, it) },
                 ),
