Judge a new version by the usual reading time, not by its endpoints' speed

Cause: with learned speeds the expected time of an answer was multiplied by the endpoint's slowness, so that a version that is slow everywhere would have passed for slow hardware. Found by reading the change before it was played on a roll-out. Change: what is compared between versions uses the service's own reading time, as before.

--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Attempt.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Attempt.kt
@@ -282,7 +282,9 @@
         lastEventAt = context.clock.nanos()
         val isSuccess = stage == Stage.EVENTS || stage == Stage.WHOLE
         if (!isSuccess || !tellsSpeed) return
-        val work = TimedWork(call.route.name, model, prefillMillis)
+        // The usual time at any endpoint: a version that is slow must not pass for slow hardware.
+        val usualMillis = endpointState.prefillSpeed.estimateMillis(model ?: call.demand.model.orEmpty(), uncachedTokens)
+        val work = TimedWork(call.route.name, model, usualMillis)
         context.rollOuts.recordTime(call.service, endpointState.listing.version, work, millis)
     }
 
