Clear endpoints of an error that belongs to the request

Cause: some reads of a plain service fail at every endpoint. Each answer counted against the endpoint that gave it, and a router with one read a second avoided a sound endpoint for seconds. Ruled out: the moment and the endpoint (the same path fails at four of four endpoints, others at the same moment don't). Change: if a second endpoint answers the same status, both are cleared.

--- a/decision/src/main/kotlin/dev/almondhaven/decision/traffic/EndpointView.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/traffic/EndpointView.kt
@@ -147,6 +147,12 @@
         return health.recordFailure(now, random)
     }
 
+    /** Records that another endpoint failed the same request too, so that its failure here was not this endpoint's own. */
+    public fun retractFailure(now: Long) {
+        failureRate.retractFailure(now)
+        health.recordSuccess()
+    }
+
     /** Records a failure to open a connection; returns true if it ejected the endpoint. */
     public fun recordUnreachable(
         now: Long,
--- a/decision/src/main/kotlin/dev/almondhaven/decision/traffic/FailureRate.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/traffic/FailureRate.kt
@@ -21,6 +21,12 @@
         if (failed) failures += 1
     }
 
+    /** Takes back a failure that turned out not to be the endpoint's own. */
+    public fun retractFailure(now: Long) {
+        decay(now)
+        failures = (failures - 1).coerceAtLeast(0.0)
+    }
+
     /** The rate at [now], biased towards zero while few requests are known. */
     public fun at(now: Long): Double {
         decay(now)
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Exchange.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Exchange.kt
@@ -5,6 +5,7 @@
 import dev.almondhaven.decision.traffic.VersionConstraint
 import dev.almondhaven.gateway.net.InFlightRequest
 import dev.almondhaven.gateway.net.ResponseWriter
+import dev.almondhaven.gateway.state.EndpointHandle
 import dev.almondhaven.model.EndpointId
 import dev.almondhaven.model.LogEvent
 import dev.almondhaven.traffic.RequestMetadata
@@ -47,6 +48,9 @@
     private var model: String? = null
     private var lastErrorResponse: ErrorResponse? = null
 
+    /** The endpoint that gave [lastErrorResponse]. */
+    private var lastFailed: EndpointHandle? = null
+
     /** Whether an endpoint may have crashed because of this request. */
     var isSuspect = false
         private set
@@ -195,7 +199,7 @@
         when (outcome) {
             is AttemptOutcome.NotExecuted -> retryOrFail(outcome.reason, usesBudget = outcome.reachedEndpoint)
             is AttemptOutcome.Escalated -> onEscalated(outcome)
-            is AttemptOutcome.Failed -> onErrorResponse(outcome)
+            is AttemptOutcome.Failed -> onErrorResponse(ended, outcome)
             is AttemptOutcome.Unknown -> onUnknownOutcome(outcome)
             is AttemptOutcome.Quarantined -> onQuarantined(outcome)
         }
@@ -217,9 +221,18 @@
         dispatch()
     }
 
-    private fun onErrorResponse(outcome: AttemptOutcome.Failed) {
+    private fun onErrorResponse(
+        ended: Attempt,
+        outcome: AttemptOutcome.Failed,
+    ) {
         executions++
         mayHaveExecuted = true
+        val first = lastFailed
+        if (first != null && first !== ended.endpoint && lastErrorResponse?.status == outcome.response.status) {
+            // The error belongs to the request, since two endpoints give it.
+            listOf(first, ended.endpoint).forEach { it.state.retractFailure(context.clock.nanos()) }
+        }
+        lastFailed = ended.endpoint
         lastErrorResponse = outcome.response
         retryOrFail("the endpoint answered ${outcome.response.status}")
     }
