Price the way to another failure domain by its distance and the bytes

Cause: one constant of 5 ms for the round trip and the price of the bytes, whatever the distance (0.5 to 20 ms) and the size (0.6 to 72 kB). Change: round trips are learned from the times in which connections open, the bytes of request and expected answer cost 200 ms a megabyte (a stated default); 5 ms stand until a connection was seen.

--- a/decision/src/main/kotlin/dev/almondhaven/decision/traffic/EndpointPlacement.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/traffic/EndpointPlacement.kt
@@ -17,6 +17,10 @@
 public class EndpointPlacement(
     private val ownDomain: FailureDomainId,
 ) {
+    /** Round-trip times to the failure domains. */
+    public val distances: DomainDistances = DomainDistances(ownDomain)
+    private val domainCost = DomainCost(ownDomain, distances)
+
     /** The failure domains that this router can't reach, whose endpoints are a last resort. */
     public val reachability: DomainReachability = DomainReachability()
 
@@ -67,13 +71,13 @@
         request: PlacementRequest,
         now: Long,
     ): Double {
-        val distance = if (endpoint.listing.failureDomain == ownDomain) 0.0 else CROSS_DOMAIN_MILLIS
+        val leaving = domainCost.millis(endpoint.listing.failureDomain, request.transferBytes)
         val coldPenalty = if (endpoint.warmUp.isCold(now)) COLD_PENALTY_MILLIS else 0.0
         val load = endpoint.requests(now).toDouble() / endpoint.listing.slots
         val failurePenalty = endpoint.failureRate.at(now) * FAILURE_PENALTY_MILLIS
         val unreachable = reachability.isUnreachable(endpoint.listing.failureDomain, now)
         val outagePenalty = if (unreachable) UNREACHABLE_DOMAIN_MILLIS else 0.0
-        return distance + coldPenalty + failurePenalty + outagePenalty +
+        return leaving + coldPenalty + failurePenalty + outagePenalty +
             if (request.model.isEmpty()) {
                 load * FULL_SERVICE_MILLIS
             } else {
@@ -131,9 +135,6 @@
     ): Double = if (candidates.isEmpty()) 0.0 else candidates.sumOf { it.prefillBacklogMillis(now) } / candidates.size
 
     private companion object {
-        /** A round trip between failure domains, and the price of the transferred bytes. */
-        const val CROSS_DOMAIN_MILLIS = 5.0
-
         /** Makes a cold endpoint the better choice only when the others are busy. */
         const val COLD_PENALTY_MILLIS = 60.0
 
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/Gateway.kt
@@ -116,13 +116,14 @@
             routing::routerCount,
             routing::endpoint,
         )
+    private val placement = EndpointPlacement(settings.failureDomain)
     private val context =
         CallContext(
             routing,
             configurationWatcher,
             rollOuts,
             promptQuarantine,
-            EndpointPlacement(settings.failureDomain),
+            placement,
             ModelCascade(),
             peers,
             Watchdog(loop),
@@ -149,6 +150,7 @@
         peers.listen()
         relayServer.listen(settings.peerAddress)
         loop.execute {
+            routing.onConnected = placement.distances::record
             peers.onSession = rollOuts::applyAnnouncement
             peers.onCanary = rollOuts::applyCanary
             peers.onRollOut = rollOuts::applyStatement
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Attempt.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Attempt.kt
@@ -116,7 +116,7 @@
     fun start(resumeAfter: Long?) {
         val listing = endpointState.listing
         val now = context.clock.nanos()
-        val placementRequest = exchange.selector.placementRequest(call.demand, model ?: call.demand.model)
+        val placementRequest = exchange.selector.placementRequest(call, model ?: call.demand.model)
         if (call.demand.promptTokens > 0) {
             val cachedTokens =
                 endpointState.prefixCache.cachedTokens(placementRequest.model, placementRequest.promptParts)
@@ -283,7 +283,11 @@
         val isSuccess = stage == Stage.EVENTS || stage == Stage.WHOLE
         if (!isSuccess || !tellsSpeed) return
         // The usual time at any endpoint: a version that is slow must not pass for slow hardware.
-        val usualMillis = endpointState.prefillSpeed.estimateMillis(model ?: call.demand.model.orEmpty(), uncachedTokens)
+        val usualMillis =
+            endpointState.prefillSpeed.estimateMillis(
+                model ?: call.demand.model.orEmpty(),
+                uncachedTokens,
+            )
         val work = TimedWork(call.route.name, model, usualMillis)
         context.rollOuts.recordTime(call.service, endpointState.listing.version, work, millis)
     }
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/call/EndpointSelector.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/call/EndpointSelector.kt
@@ -4,7 +4,6 @@
 import dev.almondhaven.decision.traffic.VersionConstraint
 import dev.almondhaven.gateway.state.EndpointHandle
 import dev.almondhaven.model.EndpointId
-import dev.almondhaven.traffic.RequestMetadata
 
 /** Finds the endpoints that are eligible for a call, and the best of them. */
 internal class EndpointSelector(
@@ -65,17 +64,27 @@
         return candidates.first { it.state === chosen }
     }
 
-    /** Builds the placement request for [demand] on [model], which is null for plain services. */
+    /** Builds the placement request for [call] on [model], which is null for plain services. */
     fun placementRequest(
-        demand: RequestMetadata,
+        call: AdmittedCall,
         model: String?,
     ): PlacementRequest {
+        val demand = call.demand
         val sharedPrefix = demand.promptParts.dropLast(1).lastOrNull()
         return PlacementRequest(
             model.orEmpty(),
             demand.promptTokens,
             demand.promptParts,
             sharedPrefix?.let { "${it.id}/$model" },
+            call.request.body.size + demand.outputTokens * BYTES_PER_TOKEN + ANSWER_HEAD_BYTES,
         )
     }
+
+    private companion object {
+        /** An event of some ten tokens takes 80 to 90 bytes. */
+        const val BYTES_PER_TOKEN = 8
+
+        /** The headers of a response, and the body of a plain service's one. */
+        const val ANSWER_HEAD_BYTES = 1_000
+    }
 }
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Exchange.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Exchange.kt
@@ -113,7 +113,7 @@
 
     private fun send() {
         val eligible = selector.eligibleEndpoints(call, versions())
-        val placementRequest = selector.placementRequest(call.demand, model ?: call.demand.model)
+        val placementRequest = selector.placementRequest(call, model ?: call.demand.model)
         val chosen =
             selector.choose(eligible, tried, placementRequest, isSuspect) ?: return onNoEndpoint(eligible.isNotEmpty())
         val next = Attempt(context, this, call, chosen, model)
@@ -174,14 +174,14 @@
     private fun expectedMillis(model: String): Double =
         selector.expectedMillis(
             selector.eligibleEndpoints(call, versions()),
-            selector.placementRequest(call.demand, model),
+            selector.placementRequest(call, model),
         )
 
     /** Expected milliseconds until another endpoint than that of [attempt] begins its response. */
     fun expectedMillisElsewhere(attempt: Attempt): Double =
         selector.expectedMillis(
             selector.eligibleEndpoints(call, versions()) - attempt.endpoint,
-            selector.placementRequest(call.demand, attempt.model ?: call.demand.model),
+            selector.placementRequest(call, attempt.model ?: call.demand.model),
         )
 
     private fun versions(): VersionConstraint = context.rollOuts.versionFor(call.service, call.demand.session, call.id)
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/net/ConnectionPool.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/net/ConnectionPool.kt
@@ -19,11 +19,13 @@
  * connections left over from a peak reach their idle timeout. Must be used on the event loop only.
  *
  * @property onBytesReceived called whenever bytes arrive from the address.
+ * @property onConnected called with the milliseconds that it took to open a connection.
  */
 internal class ConnectionPool(
     private val loop: EventLoop,
     private val address: String,
     private val onBytesReceived: () -> Unit = {},
+    private val onConnected: (millis: Double) -> Unit = {},
 ) : AutoCloseable {
     private val idle = ArrayDeque<OutboundConnection>()
     private var isClosed = false
@@ -75,7 +77,9 @@
         call: OutboundCall,
     ) {
         lateinit var connection: OutboundConnection
+        val startedAt = System.nanoTime()
         bootstrap { connection = it }.connect(target).addListener { opened ->
+            if (opened.isSuccess) onConnected((System.nanoTime() - startedAt) / NANOS_PER_MILLI)
             when {
                 !opened.isSuccess -> {
                     if (!call.isCancelled) {
@@ -162,6 +166,8 @@
     }
 
     private companion object {
+        const val NANOS_PER_MILLI = 1e6
+
         /** Round trips take a few milliseconds; TCP retransmits a lost SYN only after a second. */
         val CONNECT_TIMEOUT = 400.milliseconds
 
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/state/RoutingState.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/state/RoutingState.kt
@@ -5,6 +5,7 @@
 import dev.almondhaven.decision.traffic.SlidingRetryBudget
 import dev.almondhaven.gateway.net.ConnectionPool
 import dev.almondhaven.model.EndpointId
+import dev.almondhaven.model.FailureDomainId
 import dev.almondhaven.model.LogEvent
 import dev.almondhaven.model.NanoClock
 import dev.almondhaven.model.ServiceId
@@ -31,6 +32,8 @@
     private val loop: EventLoop,
     private val clock: NanoClock,
 ) {
+    /** Called with a failure domain and the milliseconds that it took to open a connection to an endpoint there. */
+    var onConnected: (FailureDomainId, Double) -> Unit = { _, _ -> }
     private val services = HashMap<ServiceId, ServiceEndpoints>()
 
     /** The newest known configuration; its version never decreases. */
@@ -146,7 +149,13 @@
 
     private fun newHandle(listing: EndpointListing): EndpointHandle {
         lateinit var endpoint: EndpointHandle
-        val pool = ConnectionPool(loop, listing.address) { endpoint.lastReceivedAt = clock.nanos() }
+        val pool =
+            ConnectionPool(
+                loop,
+                listing.address,
+                { endpoint.lastReceivedAt = clock.nanos() },
+                { onConnected(listing.failureDomain, it) },
+            )
         val kvCacheTokens =
             configuration
                 ?.services
