Pool the pace of streams and broken connections among routers

The first watch of a kind waits 300 ms for another router to take over, which saves most calls of a start.

--- a/decision/src/main/kotlin/dev/almondhaven/decision/traffic/EndpointSpeed.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/traffic/EndpointSpeed.kt
@@ -9,28 +9,35 @@
 public class EndpointSpeed(
     private val typical: TypicalPace,
 ) {
-    private var learned: Double? = null
+    private val millisByModel = HashMap<String, Double>()
 
     /** Factor on the usual time for any work; 1 while it is not known, or close to the usual. */
     public val slowness: Double
-        get() = learned?.takeIf { it !in USUAL_RANGE } ?: 1.0
+        get() {
+            var sum = 0.0
+            var known = 0
+            for ((model, millis) in millisByModel) {
+                val usual = typical.millis(model) ?: continue
+                sum += (millis / usual).coerceIn(1 / LARGEST_FACTOR, LARGEST_FACTOR)
+                known++
+            }
+            val mean = if (known == 0) 1.0 else sum / known
+            return if (mean in USUAL_RANGE) 1.0 else mean
+        }
 
     /** Records that a stream of [model] had [millis] between its events on this endpoint. */
     public fun record(
         model: String,
         millis: Double,
     ) {
-        if (!(millis > 0)) return
-        val usual = typical.millis(model)
+        if (millis !in PLAUSIBLE_MILLIS) return
         typical.record(model, millis)
-        if (usual == null) return
-        val sample = (millis / usual).coerceIn(1 / LARGEST_FACTOR, LARGEST_FACTOR)
-        learned = learned?.let { it + (sample - it) * SAMPLE_WEIGHT } ?: sample
+        millisByModel[model] = millisByModel[model]?.let { it + (millis - it) * SAMPLE_WEIGHT } ?: millis
     }
 
     /** Forgets what was learned, since another process has taken the endpoint's place. */
     public fun clear() {
-        learned = null
+        millisByModel.clear()
     }
 
     private companion object {
@@ -42,5 +49,8 @@
 
         /** Weight of one stream: an endpoint that turns slow is known after a few streams. */
         const val SAMPLE_WEIGHT = 0.4
+
+        /** Between two events of a stream; a router may also hear of a pace from another one. */
+        val PLAUSIBLE_MILLIS = 0.05..10_000.0
     }
 }
--- a/decision/src/main/kotlin/dev/almondhaven/decision/traffic/EndpointView.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/traffic/EndpointView.kt
@@ -147,6 +147,9 @@
         return health.recordFailure(now, random)
     }
 
+    /** Records that the endpoint broke a connection of another router without an answer. */
+    public fun recordAnnouncedFailure(now: Long): Unit = failureRate.record(failed = true, now)
+
     /** Records that another endpoint failed the same request too, so that its failure here was not this endpoint's own. */
     public fun retractFailure(now: Long) {
         failureRate.retractFailure(now)
--- a/decision/src/main/kotlin/dev/almondhaven/decision/traffic/TypicalPace.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/traffic/TypicalPace.kt
@@ -22,22 +22,23 @@
         private val recent = DoubleArray(RECENT_STREAMS)
         private var recorded = 0
 
+        /** Null while too few samples are known. */
+        var value: Double? = null
+            private set
+
         fun record(sample: Double) {
             recent[recorded % RECENT_STREAMS] = sample
             recorded++
+            val known = minOf(recorded, RECENT_STREAMS)
+            if (known >= FEWEST_STREAMS) value = recent.copyOf(known).apply { sort() }[known / 2]
         }
-
-        val value: Double?
-            get() {
-                val known = minOf(recorded, RECENT_STREAMS)
-                if (known < FEWEST_STREAMS) return null
-                return recent.copyOf(known).apply { sort() }[known / 2]
-            }
     }
 
     private companion object {
         /** Enough for a steady median, and few enough to follow a change of the service within a minute. */
         const val RECENT_STREAMS = 64
-        const val FEWEST_STREAMS = 5
+
+        /** With fewer the median may lie among the slow ones. */
+        const val FEWEST_STREAMS = 12
     }
 }
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/Gateway.kt
@@ -205,6 +205,7 @@
                 catchUpIntervalOf(kind),
                 onLoaded,
                 onChanged,
+                FIRST_WATCH_DELAY,
             )
         kindWatchers += watcher
         watcher.start()
@@ -336,7 +337,9 @@
     private fun updateRouters() {
         val names = (routers.keys + settings.name).sorted()
         routing.setRouters(names.size, names.indexOf(settings.name))
-        peers.setPeers(routers.values.mapNotNull { it?.peerAddress }.filter { it != settings.peerAddress })
+        val others = routers.values.filterNotNull().filter { it.peerAddress != settings.peerAddress }
+        val neighbours = others.filter { it.failureDomain == settings.failureDomain }
+        peers.setPeers(others.map { it.peerAddress }, neighbours.map { it.peerAddress })
         rollOuts.routersChanged()
         val candidates = routers.mapNotNull { (name, entry) -> entry?.let { relayCandidate(name, it) } }
         loop.execute { follower.setRouters(candidates) }
@@ -416,6 +419,9 @@
 
         /** Routers and quarantines are also heard of from peers. */
         private val CATCH_UP_INTERVAL = 10.seconds
+
+        /** Routers that restart together find within this time that another one reads for them. */
+        private val FIRST_WATCH_DELAY = 300.milliseconds
         private val FOLLOWER_STORE_RETRY_DELAY = 1_000.milliseconds
         private const val CALL_LOG_SECONDS = 15L
         private val REGISTER_TIMEOUT = 1_000.milliseconds
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Attempt.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Attempt.kt
@@ -416,6 +416,7 @@
     ) {
         if (stage == Stage.SETTLED) return
         if (sent) recordFailure() else recordUnreachable()
+        if (sent && stage == Stage.WAITING) context.peers.announceFailure(endpointState.listing.id)
         report(
             when {
                 !sent -> AttemptOutcome.NotExecuted("no connection: $reason", reachedEndpoint = false)
@@ -467,7 +468,9 @@
     private fun recordSuccess() {
         val paceMillis = pace.medianMillis
         if (paceMillis != null && !wasPaused) {
-            endpointState.recordPace(model ?: call.demand.model.orEmpty(), paceMillis, context.clock.nanos())
+            val requestedModel = model ?: call.demand.model.orEmpty()
+            endpointState.recordPace(requestedModel, paceMillis, context.clock.nanos())
+            context.peers.announcePace(endpointState.listing.id, requestedModel, paceMillis)
         }
         endpointState.recordSuccess(context.clock.nanos())
     }
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/state/KindWatcher.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/state/KindWatcher.kt
@@ -25,6 +25,7 @@
  * @property batchDelay pause after a change, so that the next watch returns the changes that follow it together.
  * @property catchUpInterval minimum time between two calls that check whether the watch in flight is lost.
  * @property history what is known of the kind.
+ * @property firstWatchDelay pause after the list, within which another router may take over to pass the changes on.
  * @property onList called with a complete list.
  * @property onChanges called with the changes since the list or the previous changes.
  */
@@ -37,6 +38,7 @@
     private val catchUpInterval: Duration,
     private val onList: (List<StoredObject>) -> Unit,
     private val onChanges: (List<StoreChange>) -> Unit,
+    private val firstWatchDelay: Duration = Duration.ZERO,
 ) {
     private val kind = history.kind
     private val backoff = FullJitterBackoff(INITIAL_BACKOFF, MAX_BACKOFF)
@@ -185,7 +187,11 @@
             val all = found + page.objects
             if (page.next != null) return@call list(page.next, all)
             replace(all, page.revision)
-            watch(page.revision)
+            if (firstWatchDelay.isPositive()) {
+                schedule(firstWatchDelay) { watch(history.revision) }
+            } else {
+                watch(page.revision)
+            }
         }
     }
 
