Let a reader refuse its followers as soon as its own proof is overdue

A follower left a reader that the store no longer served when that reader's proof was 2.8 s old, checked at its next answer, up to 0.8 s later; a leaving endpoint or a configuration binds after 3 s. Change: a reader confirms by watches of 0.45 of the drain time where others rely on it, and refuses, also requests that wait, when the next confirmation is 250 ms overdue or a call has failed; a follower skips proofs older than 2.2 s. Measured: StateRelayTest with a store that falls silent.

--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/Gateway.kt
@@ -75,12 +75,14 @@
             ::catchUpTo,
             retryDelay = ::storeRetryDelay,
             onConfirmed = { relayHandler.answerAll() },
+            isRelayed = { relaySelection.isLarge },
         )
     private val relayHandler: RelayHandler = RelayHandler(Relay(), loop, clock)
+    private val relaySelection: RelaySelection by lazy { RelaySelection(relayCandidate(settings.name, ownEntry)) }
     private val ownEntry = RouterEntry(settings.peerAddress, settings.failureDomain, settings.linkMegabits)
     private val follower =
         StateFollower(
-            RelaySelection(relayCandidate(settings.name, ownEntry)),
+            relaySelection,
             HttpRelayConnector(loop),
             configurationWatcher,
             kindWatchers,
@@ -270,7 +272,10 @@
     private inner class Relay : RelaySource {
         override val histories: List<KindHistory>
             get() = kindWatchers.map { it.history } + configurationWatcher.history
-        override val isReader: Boolean get() = !lifecycle.isStopping && routing.isLoaded && follower.isReading
+        override val isReader: Boolean
+            get() =
+                !lifecycle.isStopping && routing.isLoaded && follower.isReading && store.isReachable &&
+                    confirmationAge < configurationWatcher.overdueAge
         override val confirmationAge: Duration get() = configurationWatcher.confirmationAge()
         override val sinceRecovery: Duration? get() = store.recoveredAt?.let { clock.elapsed(it) }
     }
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/relay/RelayHandler.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/relay/RelayHandler.kt
@@ -22,6 +22,7 @@
     private val clock: NanoClock,
 ) : RequestHandler {
     private val waiting = LinkedHashSet<PendingAnswer>()
+    private var isCheckScheduled = false
 
     override fun serve(
         request: CallerRequest,
@@ -51,6 +52,19 @@
     /** Answers all requests, since the configuration has been confirmed anew or this router reads no more. */
     fun answerAll(): Unit = waiting.toList().forEach { it.answer() }
 
+    /** Refuses the requests that wait as soon as this router should not be relied on any more. */
+    private fun scheduleCheck() {
+        if (isCheckScheduled) return
+        isCheckScheduled = true
+        loop.schedule(::check, CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS)
+    }
+
+    private fun check() {
+        isCheckScheduled = false
+        if (!source.isReader) answerAll()
+        if (waiting.isNotEmpty()) scheduleCheck()
+    }
+
     private inner class PendingAnswer(
         private val query: RelayQuery,
         private val request: CallerRequest,
@@ -62,6 +76,7 @@
 
         fun hold() {
             waiting += this
+            scheduleCheck()
             timer = loop.schedule(::answer, query.wait.inWholeMilliseconds, TimeUnit.MILLISECONDS)
         }
 
@@ -95,5 +110,6 @@
         const val OK = 200
         const val BAD_REQUEST = 400
         const val UNAVAILABLE = 503
+        const val CHECK_INTERVAL_MILLIS = 100L
     }
 }
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/relay/RelaySource.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/relay/RelaySource.kt
@@ -7,7 +7,10 @@
 internal interface RelaySource {
     val histories: List<KindHistory>
 
-    /** Whether this router reads the store itself and has listed all kinds; it has nothing to pass on otherwise. */
+    /**
+     * Whether this router reads the store itself, has listed all kinds and has a recent proof of its configuration; others
+     * should not rely on it otherwise.
+     */
     val isReader: Boolean
 
     /** Time since the configuration was last confirmed with the store. */
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/relay/StateFollower.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/relay/StateFollower.kt
@@ -155,8 +155,8 @@
         val POLL_WAIT = 800.milliseconds
         val ANSWER_MARGIN = 300.milliseconds
 
-        /** A confirmation of a reader lasts for a watch of two seconds and one lost answer. */
-        val LONGEST_AGE = 2_800.milliseconds
+        /** A reader that knows its confirmation to be overdue refuses sooner; this one may have been suspended. */
+        val LONGEST_AGE = 2_200.milliseconds
 
         /** Routers that are asked in a row before this one reads for itself. */
         const val MAX_FAILURES = 4
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/state/ConfigurationWatcher.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/state/ConfigurationWatcher.kt
@@ -26,6 +26,7 @@
  * configuration and its confirmations on, the watcher is paused. Must be used on the event loop only.
  *
  * @property retryDelay pause after a read that failed.
+ * @property isRelayed whether other routers rely on this one's confirmations, and should soon notice that they end.
  * @property onConfirmed called when the configuration has been confirmed anew.
  * @property onRevision called with the store's revision, which each response states.
  */
@@ -39,6 +40,7 @@
     private val wallMillis: () -> Long = System::currentTimeMillis,
     private val retryDelay: () -> Duration = { RETRY_DELAY },
     private val onConfirmed: () -> Unit = {},
+    private val isRelayed: () -> Boolean = { false },
 ) {
     private class Moment(
         val steadyNanos: Long,
@@ -47,7 +49,12 @@
         fun plus(span: Duration) = Moment(steadyNanos + span.inWholeNanoseconds, wallMillis + span.inWholeMilliseconds)
     }
 
-    private val watchDuration = minOf(MAX_WATCH_DURATION, bounds.drain * DRAIN_SHARE)
+    private val ownWatchDuration = minOf(MAX_WATCH_DURATION, bounds.drain * DRAIN_SHARE)
+    private val relayedWatchDuration = minOf(MAX_WATCH_DURATION, bounds.drain * RELAYED_DRAIN_SHARE)
+    private val watchDuration: Duration get() = if (isRelayed()) relayedWatchDuration else ownWatchDuration
+
+    /** Age of a confirmation by which the next one is overdue, so that others should not rely on this router any more. */
+    val overdueAge: Duration get() = watchDuration + OVERDUE_TOLERANCE
     private val configurationAge = ConfigurationAge(bounds.revocation - REVOCATION_MARGIN)
     private var wasFresh = false
 
@@ -212,6 +219,12 @@
          */
         private const val DRAIN_SHARE = 0.6
 
+        /** The same for a router that others rely on: the time to notice and to ask another one comes on top. */
+        private const val RELAYED_DRAIN_SHARE = 0.45
+
+        /** A watch that ends without a change answers within this time after its duration. */
+        private val OVERDUE_TOLERANCE = 250.milliseconds
+
         /**
          * A watch that reports a change confirms less than one that ends without a change, so the next confirmation
          * must come before that one expires.
--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/relay/StateRelayTest.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/relay/StateRelayTest.kt
@@ -112,6 +112,18 @@
             expectThat(store.watches() <= READERS * KINDS).isTrue()
         }
 
+        @Test
+        fun `leaves a reader that the store no longer serves, before what it knows is older than the drain time`() {
+            startFleet()
+            store.silence()
+            TimeUnit.MILLISECONDS.sleep(DRAIN_MILLIS)
+            val before = store.calls.get()
+            await("the routers test the store themselves") { store.calls.get() >= before + FOLLOWERS }
+            store.resume()
+            await("only the readers watch the store") { store.watches() == READERS * KINDS }
+            await("all routers hold a recent proof") { routers.keys.none(::refusesKeys) }
+        }
+
         @Test
         fun `goes on when both readers are gone, with one or two others that read`() {
             startFleet()
@@ -133,6 +145,7 @@
 
         /** Time after which a key must stop working without a proof. */
         const val REVOCATION_MILLIS = 5_000L
+        const val DRAIN_MILLIS = 3_000L
         const val LOWEST_PORT = 20_000
         const val HIGHEST_PORT = 32_000
         const val MAX_CHECKS = 600
--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/relay/WaitingStore.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/relay/WaitingStore.kt
@@ -27,6 +27,7 @@
         CallerServer(group, { CallerLimits.BEFORE_CONFIGURATION }, { false }, RequestHandler(::serve))
     val address: String = "127.0.0.1:${(server.listen("127.0.0.1:0").localAddress() as InetSocketAddress).port}"
     private var revision = 5L
+    private var isSilent = false
     private val created = HashMap<String, LinkedHashMap<String, String>>()
     private val changes = ArrayList<Triple<String, Long, String>>()
     private val waiting = ArrayList<Waiting>()
@@ -38,6 +39,17 @@
         name: String,
     ): Unit = loop.submit { add(kind, name, "{}") }.get().let {}
 
+    /** Answers no call any more, also none that waits, until [resume]. */
+    fun silence(): Unit =
+        loop
+            .submit {
+                isSilent = true
+                waiting.clear()
+            }.get()
+            .let {}
+
+    fun resume(): Unit = loop.submit { isSilent = false }.get().let {}
+
     /** Number of watches that wait now. */
     fun watches(): Int = loop.submit<Int> { waiting.size }.get()
 
@@ -78,6 +90,10 @@
             }
         val since = query["watch"]?.toLong()
         when {
+            isSilent -> {
+                Unit
+            }
+
             request.method == "POST" -> {
                 val body = request.body.toString(Charsets.UTF_8)
                 add(
