Don't reject a version as slow for a few slow endpoints

Ruled out: the relay (the order's state reached all routers), failures (none). Change: in fleets of eight routers or more a router judges slowness by itself only if most answers were slow; otherwise by what several routers have announced.

--- a/decision/src/main/kotlin/dev/almondhaven/decision/traffic/CanaryEvidence.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/traffic/CanaryEvidence.kt
@@ -7,6 +7,15 @@
 public class CanaryEvidence {
     private val all = CanaryComparison()
     private val byRoute = HashMap<String, CanaryComparison>()
+    private val announcers = HashSet<String>()
+
+    /**
+     * Whether the answers come from many endpoints, as several other routers have announced theirs, or most of the canary's
+     * have failed. The answers that one router has seen come from a few endpoints, some of which may be slow by themselves;
+     * a version that is slow is slow at most of its endpoints.
+     */
+    public val isRepresentative: Boolean
+        get() = announcers.size >= MIN_ANNOUNCERS || all.counts.run { canaryFailures * 2 > canaryAnswers }
 
     /** What this router has seen itself on each route. */
     public val ownCounts: Map<String, CanaryCounts> get() = byRoute.mapValues { it.value.ownCounts }
@@ -27,6 +36,7 @@
         route: String,
         counts: CanaryCounts,
     ) {
+        announcers += router
         if (comparisonOf(route)?.recordAnnounced(router, counts) == true) all.recordAnnounced("$router/$route", counts)
     }
 
@@ -45,6 +55,8 @@
     override fun toString(): String = "${all.counts}"
 
     private companion object {
+        const val MIN_ANNOUNCERS = 3
+
         /** Routes with traffic are few, however many a configuration has. */
         const val MAX_ROUTES = 64
     }
--- a/decision/src/test/kotlin/dev/almondhaven/decision/traffic/CanaryEvidenceTest.kt
+++ b/decision/src/test/kotlin/dev/almondhaven/decision/traffic/CanaryEvidenceTest.kt
@@ -36,4 +36,26 @@
             expectThat("$evidence").isEqualTo("old=40/400 new=23/158")
         }
     }
+
+    @Nested
+    inner class `what a single router has seen` {
+        @Test
+        fun `is not representative until three others have announced theirs, however often one of them does`() {
+            val evidence = CanaryEvidence()
+            val known =
+                listOf("a", "a", "b", "c").map { router ->
+                    evidence.recordAnnounced(router, "route", CanaryCounts(10, 1, 10, 4))
+                    evidence.isRepresentative
+                }
+            expectThat(known).isEqualTo(listOf(false, false, false, true))
+        }
+
+        /** The counts with which a router rejected a good version, whose slow answers came from slow endpoints. */
+        @Test
+        fun `is representative if most answers are slow, not if a third of them are`() {
+            fun evidence(slow: Int) =
+                CanaryEvidence().apply { repeat(45) { record("route", isCanary = true, failed = it < slow) } }
+            expectThat(listOf(14, 30).map { evidence(it).isRepresentative }).isEqualTo(listOf(false, true))
+        }
+    }
 }
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/state/RollOutController.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/state/RollOutController.kt
@@ -295,7 +295,9 @@
     private fun rejectIfWorse(rollOut: ActiveRollOut) {
         if (rollOut.isRejected) return
         val tests = routerCount() * EVIDENCE_KINDS
-        if (!rollOut.failures.isCanaryWorse(tests) && !rollOut.slowness.isCanaryWorse(tests)) return
+        val judgesSlowness = routerCount() < FEWEST_ROUTERS_TO_POOL || rollOut.slowness.isRepresentative
+        val isSlow = judgesSlowness && rollOut.slowness.isCanaryWorse(tests)
+        if (!rollOut.failures.isCanaryWorse(tests) && !isSlow) return
         requestState(rollOut, RollOutState.ROLLED_BACK)
         announce(rollOut, rollOut.ownCounts(), rejected = true)
     }
@@ -431,6 +433,9 @@
     }
 
     private companion object {
+        /** A router of a smaller fleet sees enough answers by itself. */
+        const val FEWEST_ROUTERS_TO_POOL = 8
+
         const val OK = 200
         const val CHECK_INTERVAL_MILLIS = 200L
         const val MAX_JITTER_MILLIS = 400L
