--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/state/ConfigurationWatcher.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/state/ConfigurationWatcher.kt
@@ -145,18 +145,17 @@
         val sent = now()
         call(StoreCall.list(StoreKind.CONFIGURATION, after = null), READ_TIMEOUT) { response ->
             val page = response?.takeIf { it.status == OK }?.let { StoreCall.page(it.body) }
-            val hasConfiguration = page?.objects?.any { it.name == StoreCall.CONFIGURATION_NAME } == true
-            if (page != null && hasConfiguration) history.replace(page.objects, page.revision)
-            page?.objects?.forEach(onConfiguration)
-            if (hasConfiguration) confirm(sent)
-            logFreshnessChange()
-            page?.let { onRevision(it.revision) }
-            if (page == null || !hasConfiguration) {
-                schedule(retryDelay()) { read(onReached) }
-            } else {
-                onReached()
-                watch(page.revision, watchDuration)
+            if (page == null) {
+                logFreshnessChange()
+                return@call schedule(retryDelay()) { read(onReached) }
             }
+            history.replace(page.objects, page.revision)
+            page.objects.forEach(onConfiguration)
+            confirm(sent)
+            logFreshnessChange()
+            onRevision(page.revision)
+            onReached()
+            watch(page.revision, watchDuration)
         }
     }
 
@@ -185,9 +184,13 @@
         }
     }
 
-    /** Confirms the configuration for [moment], unless a later moment is confirmed already. */
+    /** Confirms the configuration for [moment], unless there is none yet or a later moment is confirmed already. */
     private fun confirm(moment: Moment) {
-        if (!configurationAge.confirm(moment.steadyNanos, moment.wallMillis)) return
+        if (!history.holds(StoreCall.CONFIGURATION_NAME) ||
+            !configurationAge.confirm(moment.steadyNanos, moment.wallMillis)
+        ) {
+            return
+        }
         onConfirmed()
     }
 
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/state/KindHistory.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/state/KindHistory.kt
@@ -31,6 +31,9 @@
     var isListed = false
         private set
 
+    /** Whether the object [name] exists. */
+    fun holds(name: String): Boolean = name in objects
+
     fun replace(
         list: List<StoredObject>,
         revision: Long,
--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/state/ConfigurationWatcherTest.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/state/ConfigurationWatcherTest.kt
@@ -173,5 +173,19 @@
 
             expectThat(listOf(store.calls.size, if (watcher.isFresh) 1 else 0)).isEqualTo(listOf(2, 0))
         }
+
+        @Test
+        fun `is waited for by a watch, which confirms nothing until it is there`() {
+            watcher.start()
+            respond("""{"items":[],"truncated":false,"currentRev":1}""")
+            advance(2_000)
+            respond(unchanged(1))
+            val before = watcher.isFresh
+            respond(change(4))
+
+            expectThat(store.calls.map { it.path.substringAfter('?', "list") }.distinct())
+                .isEqualTo(listOf("list", "watch=1&waitMs=2000"))
+            expectThat(listOf(before, watcher.isFresh) to seen.toList()).isEqualTo(listOf(false, true) to listOf(4L))
+        }
     }
 }
