Learn speeds from a router's own streams only

Cause: telling paces to other routers made all choose the same fast engines. Change: paces are not announced, homes of prompts are unweighted again, slowness counts in both directions.

--- a/decision/src/main/kotlin/dev/almondhaven/decision/membership/RendezvousHash.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/membership/RendezvousHash.kt
@@ -1,7 +1,6 @@
 package dev.almondhaven.decision.membership
 
 import com.google.common.hash.Hashing
-import kotlin.math.ln
 
 /**
  * Rendezvous (highest random weight) hashing: every router with the same view picks the same members for a key, and a
@@ -34,25 +33,6 @@
             .map { it.candidate }
     }
 
-    /**
-     * The candidate that [key] belongs to, where each gets a part of all keys in proportion to its [share]. With equal
-     * shares it is the first one of [choose]; a share that changes moves only keys of its own candidate.
-     */
-    public fun <T> chooseByShare(
-        key: String,
-        candidates: List<T>,
-        name: (T) -> String,
-        share: (T) -> Double,
-    ): T? =
-        candidates.maxByOrNull { candidate ->
-            val uniform = ((weight(key, name(candidate)) ushr UNUSED_BITS) + 1) / (MANTISSA_RANGE + 1)
-            share(candidate) / -ln(uniform)
-        }
-
-    /** Bits of a hash beyond those that a [Double] holds exactly. */
-    private const val UNUSED_BITS = 11
-    private const val MANTISSA_RANGE = 9_007_199_254_740_992.0
-
     private fun weight(
         key: String,
         name: String,
--- a/decision/src/main/kotlin/dev/almondhaven/decision/traffic/EndpointPlacement.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/traffic/EndpointPlacement.kt
@@ -62,7 +62,7 @@
         request: PlacementRequest,
     ): EndpointView? {
         val affinity = request.affinity ?: return null
-        return RendezvousHash.chooseByShare(affinity, candidates, { it.listing.id.value }, { it.speed.capacity })
+        return RendezvousHash.choose(affinity, candidates, 1) { it.listing.id.value }.firstOrNull()
     }
 
     private fun costMillis(
@@ -92,8 +92,8 @@
         now: Long,
     ): Double {
         val load = endpoint.requests(now).toDouble() / endpoint.listing.slots
-        val delay = endpoint.speed.delay
-        val queueing = endpoint.waiting(now) * QUEUED_REQUEST_MILLIS * delay
+        val slowness = endpoint.speed.slowness
+        val queueing = endpoint.waiting(now) * QUEUED_REQUEST_MILLIS * slowness
         val batchSlowdown =
             if (load > NEARLY_FULL_LOAD) {
                 (load - NEARLY_FULL_LOAD) * OVERLOAD_MILLIS
@@ -101,7 +101,7 @@
                 load * FULL_BATCH_MILLIS
             }
         return prefillMillis(endpoint, isPreferred, request) + endpoint.prefillBacklogMillis(now) + queueing +
-            batchSlowdown * delay
+            batchSlowdown * slowness
     }
 
     private fun prefillMillis(
--- a/decision/src/main/kotlin/dev/almondhaven/decision/traffic/EndpointSpeed.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/traffic/EndpointSpeed.kt
@@ -25,22 +25,6 @@
             return if (mean in USUAL_RANGE) 1.0 else mean
         }
 
-    /** Factor on the usual time that counts for the choice of an endpoint, see [capacity] for the fast ones. */
-    public val delay: Double get() = maxOf(1.0, slowness)
-
-    /**
-     * Part of the prompts with a shared prefix that this endpoint should be the home of, relative to a usual one. In steps, so
-     * that routers whose figures differ a little agree. Fast endpoints are given more homes instead of looking cheaper:
-     * a router of a large fleet sees little of their load, and all would choose the same ones.
-     */
-    public val capacity: Double
-        get() =
-            when {
-                slowness < FAST -> 2.0
-                slowness > SLOW -> 0.5
-                else -> 1.0
-            }
-
     /** Records that a stream of [model] had [millis] between its events on this endpoint. */
     public fun record(
         model: String,
@@ -57,10 +41,6 @@
     }
 
     private companion object {
-        /** Halfway between the usual time and half or twice of it. */
-        const val FAST = 0.7
-        const val SLOW = 1.4
-
         /** Differences within this range are noise of the measurement. */
         val USUAL_RANGE = 0.85..1.15
 
@@ -70,7 +50,7 @@
         /** Weight of one stream: an endpoint that turns slow is known after a few streams. */
         const val SAMPLE_WEIGHT = 0.4
 
-        /** Between two events of a stream; a router may also hear of a pace from another one. */
+        /** Between two events of a stream. */
         val PLAUSIBLE_MILLIS = 0.05..10_000.0
     }
 }
--- a/decision/src/main/kotlin/dev/almondhaven/decision/traffic/EndpointView.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/traffic/EndpointView.kt
@@ -114,7 +114,7 @@
     public fun prefillMillis(
         model: String,
         tokens: Int,
-    ): Double = prefillSpeed.estimateMillis(model, tokens) * speed.delay
+    ): Double = prefillSpeed.estimateMillis(model, tokens) * speed.slowness
 
     /** Records that a request with [tokens] uncached prompt tokens took [millis] to its first event. */
     public fun recordFirstEvent(
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/Gateway.kt
@@ -342,9 +342,7 @@
     private fun updateRouters() {
         val names = (routers.keys + settings.name).sorted()
         routing.setRouters(names.size, names.indexOf(settings.name))
-        val others = routers.values.filterNotNull().filter { it.peerAddress != settings.peerAddress }
-        val neighbours = others.filter { it.failureDomain == settings.failureDomain }
-        peers.setPeers(others.map { it.peerAddress }, neighbours.map { it.peerAddress })
+        peers.setPeers(routers.values.mapNotNull { it?.peerAddress }.filter { it != settings.peerAddress })
         rollOuts.routersChanged()
         val candidates = routers.mapNotNull { (name, entry) -> entry?.let { relayCandidate(name, it) } }
         loop.execute { follower.setRouters(candidates) }
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Attempt.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Attempt.kt
@@ -468,9 +468,7 @@
     private fun recordSuccess() {
         val paceMillis = pace.medianMillis
         if (paceMillis != null && !wasPaused) {
-            val requestedModel = model ?: call.demand.model.orEmpty()
-            endpointState.recordPace(requestedModel, paceMillis, context.clock.nanos())
-            context.peers.announcePace(endpointState.listing.id, requestedModel, paceMillis)
+            endpointState.recordPace(model ?: call.demand.model.orEmpty(), paceMillis, context.clock.nanos())
         }
         endpointState.recordSuccess(context.clock.nanos())
     }
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/peer/PeerMessage.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/peer/PeerMessage.kt
@@ -11,7 +11,6 @@
     @SerialName("canaries") val canaries: List<CanaryAnnouncement> = emptyList(),
     @SerialName("limits") val limits: List<LimitAnnouncement> = emptyList(),
     @SerialName("rollOuts") val rollOuts: List<RollOutStatement> = emptyList(),
-    @SerialName("paces") val paces: List<PaceAnnouncement> = emptyList(),
     @SerialName("failures") val failures: List<FailureAnnouncement> = emptyList(),
     @SerialName("prompts") val prompts: PromptAnnouncement = PromptAnnouncement(),
 )
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/peer/PeerMessenger.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/peer/PeerMessenger.kt
@@ -27,8 +27,8 @@
  * Exchanges datagrams with the other routers about long prefills: an engine in the prefill of a long prompt delays all
  * its other requests, and its load reports are too old to show that. During a roll-out the routers also tell each other
  * how long ago it was ordered and, since the requests of a session reach different routers, on which version the sessions
- * of the canary's share run. In a large fleet they tell each other the pace of streams and which endpoints broke
- * connections, since each of them sees too little by itself. Datagrams may be lost. Must be used on the event loop only, except [listen].
+ * of the canary's share run. In a large fleet they tell each other which endpoints
+ * broke connections, since each of them would have to lose requests to learn it. Datagrams may be lost. Must be used on the event loop only, except [listen].
  */
 internal class PeerMessenger(
     private val group: EventLoopGroup,
@@ -46,11 +46,6 @@
     private val limits = ArrayList<LimitAnnouncement>()
     private val failures = ArrayList<FailureAnnouncement>()
 
-    /** The other routers of this failure domain. */
-    private var neighbours: List<InetSocketAddress> = emptyList()
-    private val paces = ArrayList<PaceAnnouncement>()
-    private var isPaceFlushScheduled = false
-
     /** Called with the session announcements of other routers. */
     var onSession: (SessionAnnouncement) -> Unit = {}
 
@@ -69,41 +64,13 @@
         channel = bootstrap.bind(socketAddress(address)).sync().channel()
     }
 
-    /** Sets the addresses of the other routers, and of those of them in this failure domain. */
-    fun setPeers(
-        addresses: List<String>,
-        neighbourAddresses: List<String>,
-    ) {
+    /** Sets the addresses of the other routers. */
+    fun setPeers(addresses: List<String>) {
         peers = addresses.map(::socketAddress)
-        neighbours = neighbourAddresses.map(::socketAddress)
     }
 
     private val isLargeFleet: Boolean get() = routing.routerCount >= FEWEST_ROUTERS_TO_POOL
 
-    /** Announces that a stream of [model] had [millis] between its events on [endpoint]. */
-    fun announcePace(
-        endpoint: EndpointId,
-        model: String,
-        millis: Double,
-    ) {
-        if (!isLargeFleet || paces.size >= MAX_ANNOUNCEMENTS_PER_DATAGRAM) return
-        paces += PaceAnnouncement(endpoint.value, model, millis)
-        if (isPaceFlushScheduled) return
-        isPaceFlushScheduled = true
-        loop.schedule(::flushPaces, PACE_INTERVAL_MILLIS, TimeUnit.MILLISECONDS)
-    }
-
-    /** Sends the paces to a few routers of this failure domain, as many whatever the size of the fleet. */
-    private fun flushPaces() {
-        isPaceFlushScheduled = false
-        val bytes = encode(PeerMessage(paces = paces.toList()))
-        paces.clear()
-        val open = channel ?: return
-        val receivers = List(minOf(PACE_RECEIVERS, neighbours.size)) { neighbours[random.nextInt(neighbours.size)] }
-        receivers.distinct().forEach { open.write(DatagramPacket(Unpooled.wrappedBuffer(bytes), it)) }
-        open.flush()
-    }
-
     /** Announces that [endpoint] broke a connection without an answer. */
     fun announceFailure(endpoint: EndpointId) {
         if (!isLargeFleet || peers.isEmpty() || failures.size >= MAX_ANNOUNCEMENTS_PER_DATAGRAM) return
@@ -252,7 +219,6 @@
         message.sessions.forEach(onSession)
         message.canaries.forEach(onCanary)
         message.limits.forEach(::applyLimit)
-        message.paces.forEach(::applyPace)
         message.failures.forEach(::applyFailure)
         message.rollOuts.forEach { onRollOut(it, sender) }
         if (!message.prompts.isEmpty) onPrompts(message.prompts)
@@ -273,11 +239,6 @@
         if (isLimit) endpoint.state.rateLimit.recordAnnounced(announcement.perSecond, clock.nanos())
     }
 
-    private fun applyPace(announcement: PaceAnnouncement) {
-        val endpoint = routing.endpoint(EndpointId(announcement.endpoint)) ?: return
-        endpoint.state.recordPace(announcement.model, announcement.millis, clock.nanos())
-    }
-
     private fun applyFailure(announcement: FailureAnnouncement) {
         routing.endpoint(EndpointId(announcement.endpoint))?.state?.recordAnnouncedFailure(clock.nanos())
     }
@@ -320,10 +281,6 @@
         /** A router of a smaller fleet sees enough of each endpoint by itself. */
         const val FEWEST_ROUTERS_TO_POOL = 8
 
-        /** With as many receivers each router hears of some tens of streams a second, at about 8 KB/s. */
-        const val PACE_RECEIVERS = 8
-        const val PACE_INTERVAL_MILLIS = 1_000L
-
         /** Announcements within this time are sent together. */
         const val BATCH_DELAY_MILLIS = 2L
     }
--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/peer/PeerMessengerTest.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/peer/PeerMessengerTest.kt
@@ -84,7 +84,7 @@
     private fun pair(routers: Int): Pair<Router, Router> {
         val sender = router(routers)
         val receiver = router(routers)
-        sender.run { sender.messenger.setPeers(listOf(receiver.address), listOf(receiver.address)) }
+        sender.run { sender.messenger.setPeers(listOf(receiver.address)) }
         return sender to receiver
     }
 
