--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/relay/StateRelayTest.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/relay/StateRelayTest.kt
@@ -76,8 +76,9 @@
     /** The status line of a request; 503 while no endpoint may take it or the router's configuration may be old. */
     private fun call(router: String): String =
         Socket("127.0.0.1", routers.getValue(router).callerPort).use { socket ->
-            val headers = WireSamples.callHeaders("r").joinToString("") { (name, value) -> "$name: $value\r\n" }
-            val request = "POST ${WireSamples.UNARY_PATH}x HTTP/1.1\r\nHost: 127.0.0.1\r\nContent-Length: 0\r\nConnection: close\r\n$headers\r\n"
+            val own = listOf("Host" to "127.0.0.1", "Content-Length" to "0", "Connection" to "close")
+            val headers = (own + WireSamples.callHeaders("r")).joinToString("") { (name, value) -> "$name: $value\r\n" }
+            val request = "POST ${WireSamples.UNARY_PATH}x HTTP/1.1\r\n$headers\r\n"
             socket.getOutputStream().write(request.toByteArray())
             String(socket.getInputStream().readAllBytes())
         }
--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/relay/WaitingStore.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/relay/WaitingStore.kt
@@ -59,7 +59,8 @@
         spec: String,
     ) {
         revision++
-        val entry = """{"metadata":{"name":"$name","revision":$revision,"created":$revision},"spec":$spec,"status":null}"""
+        val metadata = """{"name":"$name","revision":$revision,"created":$revision}"""
+        val entry = """{"metadata":$metadata,"spec":$spec,"status":null}"""
         created.getOrPut(kind, ::LinkedHashMap)[name] = entry
         changes += Triple(kind, revision, entry)
         val ready = waiting.filter { it.kind == kind }
