--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/state/ConfigurationWatcher.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/state/ConfigurationWatcher.kt
@@ -107,16 +107,9 @@
         held: Duration,
         age: Duration,
     ) {
-        val list = relayed?.list
         if (relayed != null && relayed.revision > history.revision) {
-            if (list !=
-                null
-            ) {
-                history.replace(list, relayed.revision)
-            } else {
-                history.add(relayed.changes, relayed.revision)
-            }
-            (list ?: relayed.changes.map { it.entry }).forEach(onConfiguration)
+            history.apply(relayed)
+            (relayed.list ?: relayed.changes.map { it.entry }).forEach(onConfiguration)
         }
         confirm(Moment(sent.steadyNanos, sent.wallMillis).plus(held - age))
         logFreshnessChange()
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/state/KindHistory.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/state/KindHistory.kt
@@ -57,6 +57,12 @@
         while (batches.sumOf { it.changes.size } > MAX_CHANGES) firstRevision = batches.removeFirst().revision
     }
 
+    /** Applies what another router knows more. */
+    fun apply(relayed: RelayedKind) {
+        val list = relayed.list
+        if (list == null) add(relayed.changes, relayed.revision) else replace(list, relayed.revision)
+    }
+
     /** Records that nothing has changed up to [revision]. */
     fun advance(revision: Long) {
         this.revision = maxOf(this.revision, revision)
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/state/KindWatcher.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/state/KindWatcher.kt
@@ -90,11 +90,10 @@
     /** Applies what another router knows more of this kind, unless this one has learned as much meanwhile. */
     fun applyRelayed(relayed: RelayedKind) {
         if (relayed.revision <= history.revision && history.isListed) return
-        val list = relayed.list
-        when {
-            list != null -> replace(list, relayed.revision)
-            history.isListed -> add(relayed.changes, relayed.revision)
-        }
+        if (relayed.list == null && !history.isListed) return
+        history.apply(relayed)
+        apply { relayed.list?.let(onList) }
+        apply { if (relayed.changes.isNotEmpty()) onChanges(relayed.changes) }
     }
 
     private fun replace(
