--- a/decision/src/test/kotlin/dev/almondhaven/decision/traffic/EndpointPlacementTest.kt
+++ b/decision/src/test/kotlin/dev/almondhaven/decision/traffic/EndpointPlacementTest.kt
@@ -82,6 +82,17 @@
             expectThat(placement.choose(listOf(flaky, healthy), plainRequest, 30 * second)).isEqualTo(flaky)
         }
 
+        @Test
+        fun `goes on at an endpoint whose failure turned out to be the request's`() {
+            val near = endpoint("near").apply { recordFailure(0, random) }
+            val far = endpoint("far", domain = "there").apply { recordFailure(0, random) }
+            expectThat(
+                placement.choose(listOf(near, far, endpoint("other", "there")), plainRequest, 0),
+            ).isNotEqualTo(near)
+            listOf(near, far).forEach { it.retractFailure(0) }
+            expectThat(placement.choose(listOf(near, far, endpoint("other", "there")), plainRequest, 0)).isEqualTo(near)
+        }
+
         @Test
         fun `takes the requests of other routers from the load report of the endpoint`() {
             val busy = endpoint("busy").apply { recordLoad(ReportedLoad(running = 8, waiting = 3, slots = 8), 0) }
