--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/relay/RelayQuery.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/relay/RelayQuery.kt
@@ -24,7 +24,7 @@
         const val PATH = "/state"
 
         /** A follower never asks for longer, and its connection must not stay silent for longer either. */
-        private val LONGEST_WAIT = 10_000L
+        private const val LONGEST_WAIT = 10_000L
 
         /** Decodes the path and query [target], or returns null if it is not such a request. */
         fun decode(target: String): RelayQuery? {
