--- a/decision/src/main/kotlin/dev/almondhaven/decision/traffic/DomainDistances.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/traffic/DomainDistances.kt
@@ -42,7 +42,7 @@
         const val DECREASE_WEIGHT = 0.5
         const val INCREASE_WEIGHT = 0.02
 
-        /** Between data centres of one region, and more than most, as nothing is known yet. */
+        /** A round trip between data centres of one region, rather too long than too short until one was measured. */
         const val DEFAULT_EXTRA_MILLIS = 5.0
     }
 }
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/relay/RelayQuery.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/relay/RelayQuery.kt
@@ -24,7 +24,7 @@
         const val PATH = "/state"
 
         /** A follower never asks for longer, and its connection must not stay silent for longer either. */
-        private const val LONGEST_WAIT = 10_000L
+        private const val LONGEST_WAIT_MILLIS = 10_000L
 
         /** Decodes the path and query [target], or returns null if it is not such a request. */
         fun decode(target: String): RelayQuery? {
@@ -34,7 +34,7 @@
                     it.substringBefore('=') to it.substringAfter('=', "")
                 }
             val since = parameters["since"]?.split(',')?.map { decodeKind(it) ?: return null } ?: return null
-            val wait = parameters["wait"]?.toLongOrNull()?.takeIf { it in 0..LONGEST_WAIT } ?: return null
+            val wait = parameters["wait"]?.toLongOrNull()?.takeIf { it in 0..LONGEST_WAIT_MILLIS } ?: return null
             return RelayQuery(since.toMap(), wait.milliseconds)
         }
 
