--- a/review/standins2/PagedList.java
+++ b/review/standins2/PagedList.java
@@ -15,7 +15,11 @@
 final class PagedList {
     private static final int OTHERS = 600;
     private static final int CLIENTS = 12;
-    private static final long WORK_MILLIS = 150;
+    private static final int SLOTS = 6;
+
+    /** The clients begin one after the other, since the router has just started. */
+    private static final long CLIENT_START_MILLIS = 100;
+    private static final long WORK_MILLIS = 80;
     private static final long DRAIN_MILLIS = 2_000;
     private static final long CONTACT_MILLIS = 3_000;
 
@@ -36,8 +40,8 @@
         Map<String, String> runAt = new ConcurrentHashMap<>();
         Kit.Replica leaving = replica("i-0001", arrivals, runAt);
         Kit.Replica staying = replica("i-0002", Collections.synchronizedList(new ArrayList<>()), runAt);
-        store.put("servers", leaving.id, Kit.serverSpec("order-desk", leaving.port, "cwm-a", "ready", 64, 0));
-        store.put("servers", staying.id, Kit.serverSpec("order-desk", staying.port, "cwm-b", "ready", 64, 0));
+        store.put("servers", leaving.id, Kit.serverSpec("order-desk", leaving.port, "cwm-a", "ready", SLOTS, 0));
+        store.put("servers", staying.id, Kit.serverSpec("order-desk", staying.port, "cwm-a", "ready", SLOTS, 0));
         // The replicas of another service of a large deployment. No route leads to them, so nothing is sent there.
         for (int number = 0; number < OTHERS; number++) {
             String address = "127.1." + number / 200 + "." + (number % 200 + 1);
@@ -69,7 +73,10 @@
         } else {
             drain(store, leaving, drainedAt);
         }
-        for (int number = 0; number < CLIENTS; number++) Kit.spawn(() -> call(router.front, runAt));
+        for (int number = 0; number < CLIENTS; number++) {
+            Kit.spawn(() -> call(router.front, runAt));
+            Kit.sleep(CLIENT_START_MILLIS);
+        }
         Kit.sleep((long) (drainedAt[0] + SERVES_MILLIS - Kit.now()));
         hasLeft = true;
         leaving.exit();
@@ -106,7 +113,7 @@
     }
 
     private static void drain(Kit.Store store, Kit.Replica replica, double[] drainedAt) {
-        store.put("servers", replica.id, Kit.serverSpec("order-desk", replica.port, "cwm-a", "draining", 64, 0));
+        store.put("servers", replica.id, Kit.serverSpec("order-desk", replica.port, "cwm-a", "draining", SLOTS, 0));
         drainedAt[0] = Kit.now();
         Kit.log("store acknowledged that replica " + replica.id + " is draining");
     }
