--- a/review/standins2/Kit.java
+++ b/review/standins2/Kit.java
@@ -81,8 +81,8 @@
 
     /** Opens the record. From now on an error of the script itself ends it with 2, and no router outlives it. */
     static void openRecord(Path file) throws IOException {
-        record = new PrintWriter(Files.newBufferedWriter(file), true);
-        Runtime.getRuntime().addShutdownHook(new Thread(Kit::stopRouters));
+        record = new PrintWriter(Files.newBufferedWriter(file));
+        Runtime.getRuntime().addShutdownHook(new Thread(Kit::end));
         Thread.currentThread().setUncaughtExceptionHandler((thread, failure) -> cannotRun("" + failure));
     }
 
@@ -109,6 +109,7 @@
 
     private static synchronized void end() {
         isOver = true;
+        record.flush();
         stopRouters();
     }
 
@@ -561,12 +562,14 @@
                 writeResponse(out, 421, identity + "X-Almondhaven-Not-Executed: 1\r\n", new byte[0]);
                 return;
             }
+            String attempt = request.header("X-Almondhaven-Attempt-Id");
             runs.incrementAndGet();
             running.incrementAndGet();
+            log("replica " + id + " runs " + attempt);
             onRun(request);
             sleep(workMillis);
             int left = running.decrementAndGet();
-            String attempt = request.header("X-Almondhaven-Attempt-Id");
+            log("replica " + id + " answers 200 to " + attempt);
             writeResponse(
                 out,
                 200,
@@ -587,6 +590,7 @@
         final int front;
         final int ready;
         private final Path settings;
+        private final String text;
         private final Path output;
         Process process;
 
@@ -598,12 +602,11 @@
             int peers = freePort();
             settings = folder.resolve(name + ".json");
             output = folder.resolve(name + ".log");
-            Files.writeString(
-                settings,
-                "{\"nodeName\":\"" + name + "\",\"role\":\"almondhaven-router\",\"machineClass\":\"front\","
+            text = "{\"nodeName\":\"" + name + "\",\"role\":\"almondhaven-router\",\"machineClass\":\"front\","
                     + "\"serves\":[\"front\"],\"ip\":\"127.0.0.1\",\"zone\":\"" + zone + "\",\"region\":\"west-wales\","
                     + "\"listen\":{\"front\":\"127.0.0.1:" + front + "\",\"ready\":\"127.0.0.1:" + ready + "\"},"
-                    + "\"portRange\":[" + peers + "," + peers + "],\"seeds\":[],\"bootstrap\":true,"
+                    + "\"portRange\":[" + peers + "," + peers + "],\"seeds\":[],\"dataDir\":null,"
+                    + "\"discovery\":\"platform\",\"entry\":\"vip\",\"bootstrap\":true,"
                     + "\"limits\":{\"cpuShare\":0.75,\"cores\":1,\"memoryMb\":280,\"maxFds\":4100,\"linkMbps\":1000.0},"
                     + "\"heartbeatMs\":1200,\"bounds\":{\"seedLagS\":3,\"addrReuseS\":2,\"contactMs\":3000,"
                     + "\"ackMs\":4000,\"catchUpS\":4,\"drainMs\":2000,\"graceS\":8,\"lossSlackMs\":200,"
@@ -613,11 +616,13 @@
                     + "\"coldSlack\":5,\"evacuateMs\":5000,\"recoveryS\":12,\"passMs\":120,\"reuseWindowS\":9.7,"
                     + "\"sessionS\":5},\"platform\":{\"address\":\"127.0.0.1:" + store.port + "\",\"form\":\"objects\","
                     + "\"writesPerS\":400,\"readsPerS\":2000,\"historyS\":20,\"valueBytes\":1048576,"
-                    + "\"minTtlMs\":1000}}");
+                    + "\"minTtlMs\":1000}}";
         }
 
         /** Starts the process with the `run` line of the deploy file, in the repository's root. */
         Router start() throws IOException {
+            boolean isFirst = process == null;
+            Files.writeString(settings, isFirst ? text : text.replace("\"bootstrap\":true", "\"bootstrap\":false"));
             List<String> words = new ArrayList<>();
             for (String line : Files.readAllLines(Path.of("deploy/system.toml"))) {
                 if (!line.startsWith("run = ")) continue;
@@ -709,15 +714,19 @@
             out = socket.getOutputStream();
         }
 
-        /** Sends a request and returns the answer; null if the connection ended without a whole one. */
-        Message exchange(byte[] request) {
+        /** Sends the request {@code id} and returns the answer; null if the connection ended without a whole one. */
+        Message exchange(String id, byte[] request) {
+            log("client sends " + id + " to port " + socket.getPort());
+            Message answer = null;
             try {
                 out.write(request);
                 out.flush();
-                return readMessage(in);
+                answer = readMessage(in);
             } catch (IOException broken) {
-                return null;
+                // The connection ended without a whole answer.
             }
+            log("client gets " + (answer == null ? "a closed connection" : answer.first) + " for " + id);
+            return answer;
         }
 
         void close() {
