--- a/review/standins2/PagedList.java
+++ b/review/standins2/PagedList.java
@@ -14,11 +14,12 @@
  */
 final class PagedList {
     private static final int OTHERS = 600;
-    private static final int CLIENTS = 12;
+    private static final int REPLICAS = 8;
+    private static final int CLIENTS = 24;
     private static final int SLOTS = 6;
 
     /** The clients begin one after the other, since the router has just started. */
-    private static final long CLIENT_START_MILLIS = 100;
+    private static final long CLIENT_START_MILLIS = 50;
     private static final long WORK_MILLIS = 80;
     private static final long DRAIN_MILLIS = 2_000;
     private static final long CONTACT_MILLIS = 3_000;
@@ -39,9 +40,12 @@
         List<Arrival> arrivals = Collections.synchronizedList(new ArrayList<>());
         Map<String, String> runAt = new ConcurrentHashMap<>();
         Kit.Replica leaving = replica("i-0001", arrivals, runAt);
-        Kit.Replica staying = replica("i-0002", Collections.synchronizedList(new ArrayList<>()), runAt);
-        store.put("servers", leaving.id, Kit.serverSpec("order-desk", leaving.port, "cwm-a", "ready", SLOTS, 0));
-        store.put("servers", staying.id, Kit.serverSpec("order-desk", staying.port, "cwm-a", "ready", SLOTS, 0));
+                store.put("servers", leaving.id, Kit.serverSpec("order-desk", leaving.port, "cwm-a", "ready", SLOTS, 0));
+        for (int number = 2; number <= REPLICAS; number++) {
+            List<Arrival> others = Collections.synchronizedList(new ArrayList<>());
+            Kit.Replica staying = replica("i-000" + number, others, runAt);
+            store.put("servers", staying.id, Kit.serverSpec("order-desk", staying.port, "cwm-a", "ready", SLOTS, 0));
+        }
         // The replicas of another service of a large deployment. No route leads to them, so nothing is sent there.
         for (int number = 0; number < OTHERS; number++) {
             String address = "127.1." + number / 200 + "." + (number % 200 + 1);
@@ -124,7 +128,7 @@
             try {
                 if (client == null) client = new Kit.Client(port);
                 String id = Kit.newId();
-                Kit.Message answer = client.exchange(Kit.request("POST", "/order/1", id, 1_500, 600));
+                Kit.Message answer = client.exchange(id, Kit.request("POST", "/order/1", id, 1_500, 600));
                 if (answer != null && answer.first.contains(" 200 ")) {
                     SERVED.incrementAndGet();
                 } else if (hasLeft && "i-0001".equals(runAt.get(id))) {
