--- a/review/standins2/SlowReader.java
+++ b/review/standins2/SlowReader.java
@@ -77,8 +77,10 @@
             socket.setReceiveBufferSize(RECEIVE_BUFFER);
             socket.connect(new InetSocketAddress(Kit.LOOPBACK, port), 1_000);
             Kit.sleep(delay);
-            socket.getOutputStream().write(Kit.request("POST", "/order/1", Kit.newId(), 15_000, 600));
+            String id = Kit.newId();
+            socket.getOutputStream().write(Kit.request("POST", "/order/1", id, 15_000, 600));
             outcome.sentAt = Kit.now();
+            Kit.log("client sends " + id);
             InputStream in = socket.getInputStream();
             Kit.Message head = Kit.readHead(in);
             if (head == null) {
@@ -86,6 +88,7 @@
                 return;
             }
             outcome.end = head.first;
+            Kit.log("client begins to get " + head.first + " for " + id);
             outcome.expected = Integer.parseInt(head.header("content-length"));
             byte[] step = new byte[BYTES_PER_STEP];
             while (outcome.received < outcome.expected) {
