--- a/review/standins2/ColdReturn.java
+++ b/review/standins2/ColdReturn.java
@@ -124,7 +124,7 @@
                 if (client == null) client = new Kit.Client(port);
                 String id = Kit.newId();
                 SENT.put(id, Kit.now());
-                Kit.Message answer = client.exchange(Kit.request("POST", "/order/1", id, 1_500, 600));
+                Kit.Message answer = client.exchange(id, Kit.request("POST", "/order/1", id, 1_500, 600));
                 if (answer != null && answer.first.contains(" 200 ")) {
                     SERVED.incrementAndGet();
                 } else if (RUN_AT.containsKey(id)) {
