LOST: a stop closes what a request could arrive on before it counts as done

Cause: Gateway.stop asked the event loop every 50 ms whether a request was in work, and the process exited on a "no". That answer was true only for the moment it was given: until the exit, milliseconds later, the event loop went on accepting, reading and sending on. What had arrived in part, what waited in the kernel's accept queue and what was written but not yet sent was not "in work" either.

Change: GracefulShutdown decides on the event loop, in the step that closes the port once nothing is in work; connections that wait to be accepted are accepted first, and each connection is closed only after it has been idle for 100 ms. The stop ends when the port and all connections are closed, so nothing can be read after the decision. A request that has arrived in part and a response that has not left the process count as busy. At the end of the grace period the same way follows the final responses, in place of a fixed 100 ms.

--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/Gateway.kt
@@ -375,22 +375,13 @@
     }
 
     /**
-     * Finishes the requests in flight and takes no new connections; returns when none is left, or shortly before the
-     * end of the grace period, when those that are left get their final response.
+     * Finishes the requests in flight and closes the callers' port and connections; returns when none is left, or shortly
+     * before the end of the grace period, when the requests that are left get their final response.
      */
     fun stop() {
         LogEvent.ROUTER_STOPPING.log(logger) { "router=${settings.name}" }
-        lifecycle.stop()
-        val end = settings.bounds.shutdownGracePeriod - STOP_MARGIN
-        while (lifecycle.stoppingFor() < end && (lifecycle.stoppingFor() < BALANCER_DRAIN_DELAY || isBusy())) {
-            TimeUnit.MILLISECONDS.sleep(STOP_CHECK_MILLIS)
-            if (lifecycle.stoppingFor() >= BALANCER_DRAIN_DELAY) loop.submit { callerServer.closeIdle() }.get()
-        }
-        val isBusy = isBusy()
-        if (isBusy) {
-            loop.submit { callerServer.endRequests() }.get()
-            TimeUnit.MILLISECONDS.sleep(LAST_RESPONSE_MILLIS)
-        }
+        val servers = listOf(callerServer, relayServer)
+        val isBusy = !GracefulShutdown(lifecycle, loop, servers, settings.bounds.shutdownGracePeriod).run()
         LogEvent.ROUTER_STOPPED.log(logger) { "router=${settings.name} busy=$isBusy" }
     }
 
@@ -399,8 +390,6 @@
         group.shutdownGracefully(0, 0, TimeUnit.SECONDS).syncUninterruptibly()
     }
 
-    private fun isBusy(): Boolean = loop.submit<Boolean> { callerServer.isBusy }.get()
-
     companion object {
         /** Short compared with the seconds within which an operator's order must take effect. */
         private val BATCH_DELAY = 150.milliseconds
@@ -430,16 +419,6 @@
         private val REGISTER_TIMEOUT = 1_000.milliseconds
         private val REGISTER_RETRY_DELAY = 1.seconds
 
-        /** The load balancer checks readiness every second, and stops sending connections after two failed checks. */
-        private val BALANCER_DRAIN_DELAY = 2_500.milliseconds
-
-        /** Time reserved to exit before the process is killed. */
-        private val STOP_MARGIN = 300.milliseconds
-        private const val STOP_CHECK_MILLIS = 50L
-
-        /** Time in which the last responses leave the process. */
-        private const val LAST_RESPONSE_MILLIS = 100L
-
         /** Starts serving with [settings], on [listener] if that is the callers' port. */
         fun start(
             settings: NodeSettings,
--- /dev/null
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/GracefulShutdown.kt
@@ -0,0 +1,74 @@
+package dev.almondhaven.gateway
+
+import dev.almondhaven.gateway.net.CallerServer
+import dev.almondhaven.gateway.state.Lifecycle
+import io.netty.channel.EventLoop
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * Stops the [servers] without cutting off a request: they serve until the load balancer has noticed the stop and nothing
+ * is in work, and then close their ports and connections. The decision that nothing is left is made on the event loop,
+ * in the same step that closes what a further request could arrive on. Must not be used on the event loop.
+ *
+ * @property gracePeriod time from the request to stop until the process is killed.
+ */
+internal class GracefulShutdown(
+    private val lifecycle: Lifecycle,
+    private val loop: EventLoop,
+    private val servers: List<CallerServer>,
+    private val gracePeriod: Duration,
+) {
+    /**
+     * Returns when all ports and connections are closed, or shortly before the end of the grace period; false if
+     * requests had to be ended with a final response.
+     */
+    fun run(): Boolean {
+        lifecycle.stop()
+        val end = gracePeriod - FINAL_RESPONSE_TIME
+        awaitUntil(minOf(BALANCER_DRAIN_DELAY, end)) { false }
+        if (awaitUntil(end, ::drain)) return true
+        val wasBusy = onLoop { servers.any { it.isBusy } }
+        awaitUntil(gracePeriod - EXIT_MARGIN, ::endRequests)
+        return !wasBusy
+    }
+
+    private fun drain(): Boolean = onLoop { servers.map { it.drain() }.all { it } }
+
+    private fun endRequests(): Boolean =
+        drain().also {
+            onLoop {
+                servers.forEach {
+                    it.stopListening()
+                    it.endRequests()
+                }
+            }
+        }
+
+    /** Checks until [isDone], or until the stop has lasted for [time]; returns whether it is done. */
+    private fun awaitUntil(
+        time: Duration,
+        isDone: () -> Boolean,
+    ): Boolean {
+        while (lifecycle.stoppingFor() < time) {
+            if (isDone()) return true
+            TimeUnit.MILLISECONDS.sleep(CHECK_INTERVAL_MILLIS)
+        }
+        return false
+    }
+
+    private fun <T> onLoop(action: () -> T): T = loop.submit<T> { action() }.get()
+
+    private companion object {
+        /** The load balancer checks readiness every second, and stops sending connections after two failed checks. */
+        val BALANCER_DRAIN_DELAY = 2_500.milliseconds
+
+        /** Time before the end of the grace period at which the requests that are left get their final response. */
+        val FINAL_RESPONSE_TIME = 300.milliseconds
+
+        /** Time reserved to exit before the process is killed. */
+        val EXIT_MARGIN = 100.milliseconds
+        const val CHECK_INTERVAL_MILLIS = 50L
+    }
+}
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/net/CallerConnection.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/net/CallerConnection.kt
@@ -4,6 +4,7 @@
 import dev.almondhaven.traffic.CallerLimits
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
+import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
@@ -26,6 +27,7 @@
 import io.netty.util.concurrent.ScheduledFuture
 import java.io.ByteArrayOutputStream
 import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
 
 /**
  * One connection of a caller: reads complete requests within the limits, hands them over one at a time, and writes the
@@ -35,6 +37,7 @@
     private val limits: () -> CallerLimits,
     private val handler: RequestHandler,
     private val isStopping: () -> Boolean,
+    private val decoder: StrictRequestDecoder,
     private val onClosed: (CallerConnection) -> Unit,
 ) : ChannelInboundHandlerAdapter() {
     private lateinit var context: ChannelHandlerContext
@@ -47,17 +50,26 @@
     private var timer: ScheduledFuture<*>? = null
     private var isRejecting = false
 
-    /** Whether a request is being read or served. */
-    val isBusy: Boolean get() = activeWriter != null || head != null || pipelined.isNotEmpty()
+    /** The last write, with which all writes before it are done. */
+    private var lastWrite: ChannelFuture? = null
+
+    /** Monotonic time in nanoseconds at which the connection was opened or its last response ended. */
+    private var idleSince = System.nanoTime()
+
+    /** Whether a request whose head has been read is being read or served. */
+    private val isServing: Boolean get() = activeWriter != null || head != null || pipelined.isNotEmpty()
+
+    /** Whether a request is being read or served, or part of a response waits until the caller reads. */
+    val isBusy: Boolean get() = isServing || decoder.isInsideRequest || lastWrite?.isDone == false
 
     override fun handlerAdded(context: ChannelHandlerContext) {
         this.context = context
         awaitRequest()
     }
 
-    /** Closes the connection if no request is being read or served. */
-    fun closeIfIdle() {
-        if (!isBusy) context.close()
+    /** Closes the connection if it has been idle for [quietPeriod]. */
+    fun closeIfIdle(quietPeriod: Duration) {
+        if (!isBusy && System.nanoTime() - idleSince >= quietPeriod.inWholeNanoseconds) context.close()
     }
 
     /** Ends the request that is being served with its final response. */
@@ -65,8 +77,10 @@
         inFlight?.onShutdown()
     }
 
+    private fun send(message: Any): ChannelFuture = context.writeAndFlush(message).also { lastWrite = it }
+
     private fun awaitRequest() {
-        startTimer(limits().idleTimeout.inWholeMilliseconds) { if (!isBusy) context.close() }
+        startTimer(limits().idleTimeout.inWholeMilliseconds) { if (!isServing) context.close() }
     }
 
     private fun startTimer(
@@ -79,9 +93,9 @@
 
     /** Starts the header timeout; called when the first bytes of a request arrive, before they are decoded. */
     fun onRequestStart() {
-        if (isBusy) return
+        if (isServing) return
         startTimer(limits().headerTimeout.inWholeMilliseconds) {
-            if (!isBusy) reject(HttpResponseStatus.REQUEST_TIMEOUT)
+            if (!isServing) reject(HttpResponseStatus.REQUEST_TIMEOUT)
         }
     }
 
@@ -117,9 +131,7 @@
         val rejection = validate(request)
         if (rejection != null) return reject(rejection)
         if (HttpUtil.is100ContinueExpected(request)) {
-            context.writeAndFlush(
-                DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER),
-            )
+            send(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER))
         }
     }
 
@@ -194,12 +206,13 @@
                 HttpHeaderNames.CONTENT_LENGTH,
                 0,
             ).set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
-        context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE)
+        send(response).addListener(ChannelFutureListener.CLOSE)
     }
 
     private fun onResponseEnd(keepAlive: Boolean) {
         activeWriter = null
         inFlight = null
+        idleSince = System.nanoTime()
         if (isRejecting || !keepAlive) return
         val next = pipelined.removeFirstOrNull()
         if (next == null) return awaitRequest()
@@ -259,7 +272,7 @@
             val response = begunResponse(HttpResponseStatus.valueOf(status))
             prepare(response, headers)
             if (!isHeadRequest) response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
-            context.writeAndFlush(response)
+            send(response)
         }
 
         /** The encoder doesn't know that a response to HEAD has no body; it has to get a whole one. */
@@ -272,7 +285,7 @@
 
         override fun write(bytes: ByteArray): Boolean {
             if (activeWriter !== this || isHeadRequest) return true
-            context.writeAndFlush(DefaultHttpContent(Unpooled.wrappedBuffer(bytes)))
+            send(DefaultHttpContent(Unpooled.wrappedBuffer(bytes)))
             return context.channel().isWritable
         }
 
@@ -298,7 +311,7 @@
         }
 
         private fun finish(last: Any) {
-            val written = context.writeAndFlush(last)
+            val written = send(last)
             if (!keepAlive) written.addListener(ChannelFutureListener.CLOSE)
             onResponseEnd(keepAlive)
         }
--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/StoppingTest.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/StoppingTest.kt
@@ -5,7 +5,10 @@
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
+import strikt.api.expectThrows
 import strikt.assertions.isEqualTo
+import strikt.assertions.startsWith
+import java.net.ConnectException
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.CountDownLatch
@@ -96,7 +99,35 @@
         }
     }
 
+    /**
+     * Guards against LOST: a router that had found nothing in work still took requests until its process ended, and cut
+     * them without an answer though they ran.
+     */
+    @Nested
+    inner class `once the stop has ended` {
+        @Test
+        fun `no connection is accepted`() {
+            fixture.stop()
+
+            expectThrows<ConnectException> { fixture.connect() }
+        }
+
+        @Test
+        fun `no request is read on a connection that was kept`() {
+            fixture.connect().use { caller ->
+                val request = fixture.request("${WireSamples.UNARY_PATH}a", "kept", keepAlive = true)
+                caller.soTimeout = (PATIENCE_SECONDS * MILLIS_PER_SECOND).toInt()
+                caller.getOutputStream().write(request.toByteArray())
+                expectThat(caller.getInputStream().read()).isEqualTo('H'.code)
+                fixture.stop()
+
+                expectThat(caller.getInputStream().readAllBytes().decodeToString()).startsWith("TTP/1.1 200 OK")
+            }
+        }
+    }
+
     private companion object {
+        const val MILLIS_PER_SECOND = 1_000L
         const val PATIENCE_SECONDS = 5L
         const val EVENT_MILLIS = 50L
 
