--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/state/ConfigurationWatcher.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/state/ConfigurationWatcher.kt
@@ -60,6 +60,8 @@
 
     /** What is known of the configuration's kind. */
     val history = KindHistory(StoreKind.CONFIGURATION)
+    private val lister =
+        KindLister(StoreKind.CONFIGURATION) { call, onResponse -> call(call, READ_TIMEOUT, onResponse) }
     private var isPaused = false
 
     /** Grows with each pause, so that responses and retries from before it are dropped. */
@@ -108,8 +110,8 @@
         age: Duration,
     ) {
         if (relayed != null && relayed.revision > history.revision) {
-            history.apply(relayed)
-            (relayed.list ?: relayed.changes.map { it.entry }).forEach(onConfiguration)
+            val changes = history.apply(relayed)
+            (relayed.list ?: changes.map { it.entry }).forEach(onConfiguration)
         }
         confirm(Moment(sent.steadyNanos, sent.wallMillis).plus(held - age))
         logFreshnessChange()
@@ -128,27 +130,25 @@
     }
 
     private fun apply(changes: StoreChanges) {
-        history.add(changes.changed, changes.revision)
-        changes.changed.forEach { onConfiguration(it.entry) }
+        history.add(changes.changed, changes.revision).forEach { onConfiguration(it.entry) }
     }
 
     private fun now() = Moment(clock.nanos(), wallMillis())
 
     private fun read(onReached: () -> Unit = {}) {
         val sent = now()
-        call(StoreCall.list(StoreKind.CONFIGURATION, after = null), READ_TIMEOUT) { response ->
-            val page = response?.takeIf { it.status == OK }?.let { StoreCall.page(it.body) }
-            if (page == null) {
-                logFreshnessChange()
-                return@call schedule(retryDelay()) { read(onReached) }
-            }
-            history.replace(page.objects, page.revision)
-            page.objects.forEach(onConfiguration)
+        val onFailure = { _: StoreResponse? ->
+            logFreshnessChange()
+            schedule(retryDelay()) { read(onReached) }
+        }
+        lister.list(onFailure) { listing ->
+            history.replace(listing.objects, listing.revision)
+            listing.objects.forEach(onConfiguration)
             confirm(sent)
             logFreshnessChange()
-            onRevision(page.revision)
+            onRevision(listing.revision)
             onReached()
-            watch(page.revision, watchDuration)
+            watch(listing.revision, watchDuration)
         }
     }
 
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/state/KindHistory.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/state/KindHistory.kt
@@ -34,6 +34,7 @@
     /** Whether the object [name] exists. */
     fun holds(name: String): Boolean = name in objects
 
+    /** Replaces all that is known by [list], which holds at least what the store had at [revision]. */
     fun replace(
         list: List<StoredObject>,
         revision: Long,
@@ -46,21 +47,36 @@
         isListed = true
     }
 
+    /** Adds the [changes] up to [revision], and returns those of them that were not known yet. */
     fun add(
         changes: List<StoreChange>,
         revision: Long,
-    ) {
+    ): List<StoreChange> {
         advance(revision)
-        if (changes.isEmpty()) return
-        changes.forEach { if (it.removed) objects.remove(it.entry.name) else objects[it.entry.name] = it.entry }
+        if (changes.isEmpty()) return changes
+        val news = changes.filter(::apply)
+        // A router that knows more than the first page of this one's list, but not all of its last one, lacks them all.
         batches.addLast(Batch(this.revision, changes))
         while (batches.sumOf { it.changes.size } > MAX_CHANGES) firstRevision = batches.removeFirst().revision
+        return news
+    }
+
+    /** False for a change from before the object was read, as on a later page of the list than the first one. */
+    private fun apply(change: StoreChange): Boolean {
+        val entry = change.entry
+        val known = objects[entry.name]?.revision ?: -1
+        when {
+            change.removed -> if (entry.revision < known) return false else objects.remove(entry.name)
+            else -> if (entry.revision <= known) return false else objects[entry.name] = entry
+        }
+        return true
     }
 
-    /** Applies what another router knows more. */
-    fun apply(relayed: RelayedKind) {
-        val list = relayed.list
-        if (list == null) add(relayed.changes, relayed.revision) else replace(list, relayed.revision)
+    /** Applies what another router knows more, and returns the changes among it. */
+    fun apply(relayed: RelayedKind): List<StoreChange> {
+        val list = relayed.list ?: return add(relayed.changes, relayed.revision)
+        replace(list, relayed.revision)
+        return relayed.changes
     }
 
     /** Records that nothing has changed up to [revision]. */
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/state/KindWatcher.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/state/KindWatcher.kt
@@ -41,6 +41,7 @@
     private val firstWatchDelay: Duration = Duration.ZERO,
 ) {
     private val kind = history.kind
+    private val lister = KindLister(kind, ::callUnlessPaused)
     private val backoff = FullJitterBackoff(INITIAL_BACKOFF, MAX_BACKOFF)
     private var failures = 0
     private var watchedRevision = 0L
@@ -63,7 +64,7 @@
 
     fun start() {
         store.onRecovery(::onRecovery)
-        list(after = null, found = emptyList())
+        list()
     }
 
     /** Stops calling the store, since another router passes the changes on. */
@@ -84,32 +85,28 @@
         follow()
     }
 
-    private fun follow(): Unit =
-        if (history.isListed) watch(history.revision) else list(after = null, found = emptyList())
+    private fun follow(): Unit = if (history.isListed) watch(history.revision) else list()
 
     /** Applies what another router knows more of this kind, unless this one has learned as much meanwhile. */
     fun applyRelayed(relayed: RelayedKind) {
         if (relayed.revision <= history.revision && history.isListed) return
         if (relayed.list == null && !history.isListed) return
-        history.apply(relayed)
+        val changes = history.apply(relayed)
         apply { relayed.list?.let(onList) }
-        apply { if (relayed.changes.isNotEmpty()) onChanges(relayed.changes) }
+        apply { if (changes.isNotEmpty()) onChanges(changes) }
     }
 
-    private fun replace(
-        list: List<StoredObject>,
-        revision: Long,
-    ) {
-        history.replace(list, revision)
-        apply { onList(list) }
+    private fun replace(listing: KindListing) {
+        history.replace(listing.objects, listing.revision)
+        apply { onList(listing.objects) }
     }
 
     private fun add(
         changes: List<StoreChange>,
         revision: Long,
     ) {
-        history.add(changes, revision)
-        if (changes.isNotEmpty()) apply { onChanges(changes) }
+        val news = history.add(changes, revision)
+        if (news.isNotEmpty()) apply { onChanges(news) }
     }
 
     /** Runs [action] unless the watcher has been paused since this function was called. */
@@ -173,25 +170,24 @@
         catchUp(storeRevision)
     }
 
-    private fun list(
-        after: String?,
-        found: List<StoredObject>,
-    ) {
-        val current = generation
-        store.call(StoreCall.list(kind, after), CALL_TIMEOUT) { response ->
-            if (generation != current) return@call
-            val page = response?.takeIf { it.status == OK }?.let { StoreCall.page(it.body) }
-            if (page == null) return@call retry(response) { list(after = null, found = emptyList()) }
+    private fun list(): Unit =
+        lister.list(onFailure = { retry(it, ::list) }) { listing ->
             failures = 0
-            val all = found + page.objects
-            if (page.next != null) return@call list(page.next, all)
-            replace(all, page.revision)
+            replace(listing)
             if (firstWatchDelay.isPositive()) {
                 schedule(firstWatchDelay) { watch(history.revision) }
             } else {
-                watch(page.revision)
+                watch(listing.revision)
             }
         }
+
+    /** Calls the store; the response is dropped if the watcher has been paused meanwhile. */
+    private fun callUnlessPaused(
+        call: StoreCall,
+        onResponse: (StoreResponse?) -> Unit,
+    ) {
+        val current = generation
+        store.call(call, CALL_TIMEOUT) { if (generation == current) onResponse(it) }
     }
 
     private fun watch(revision: Long) {
@@ -213,7 +209,7 @@
     ) {
         if (response?.status == StoreCall.REVISION_EXPIRED) {
             LogEvent.STORE_HISTORY_GONE.log(logger) { "kind=$kind revision=$revision" }
-            return list(after = null, found = emptyList())
+            return list()
         }
         val changes = response?.takeIf { it.status == OK }?.let { StoreCall.changes(it.body) }
         if (changes == null) return retry(response) { watch(revision) }
--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/state/ConfigurationWatcherTest.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/state/ConfigurationWatcherTest.kt
@@ -58,6 +58,23 @@
         respond(list(7))
     }
 
+    /** Guards against CONFIG: only the first page of a list was read, and the configuration may stand on a later one. */
+    @Nested
+    inner class `a configuration on the second page of the list` {
+        @Test
+        fun `is found, and watched from the revision of the first page`() {
+            val other = entry(3).replace("main", "backup")
+            watcher.start()
+            respond("""{"items":[$other],"truncated":true,"currentRev":7}""")
+            respond(list(9))
+
+            expectThat(store.calls.map { it.path }).isEqualTo(
+                listOf("/objects/config", "/objects/config?after=backup", "/objects/config?watch=7&waitMs=2000"),
+            )
+            expectThat(seen.toList()).isEqualTo(listOf(3L, 9L))
+        }
+    }
+
     @Nested
     inner class `a watch` {
         @Test
--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/state/KindWatcherTest.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/state/KindWatcherTest.kt
@@ -39,8 +39,10 @@
         seen += changes.map { "change ${it.entry.name} removed=${it.removed}" }
     }
 
-    private fun stored(name: String) =
-        """{"metadata":{"name":"$name","revision":3,"created":2},"spec":{},"status":null}"""
+    private fun stored(
+        name: String,
+        revision: Long = 3,
+    ) = """{"metadata":{"name":"$name","revision":$revision,"created":2},"spec":{},"status":null}"""
 
     private fun respond(
         call: Int,
@@ -133,6 +135,68 @@
         }
     }
 
+    /** Guards against DRAIN: a router missed what changed on the first page of a list before it had read the last one. */
+    @Nested
+    inner class `a list of several pages` {
+        private val firstPage = """{"items":[${stored("east")}],"truncated":true,"currentRev":7}"""
+
+        private fun lastPage(revision: Long) =
+            """{"items":[${stored("west", 8)}],"truncated":false,"currentRev":$revision}"""
+
+        private fun startAndList() {
+            watcher.start()
+            respond(0, firstPage)
+            respond(1, lastPage(9))
+        }
+
+        @Test
+        fun `is watched from the revision of its first page`() {
+            startAndList()
+
+            expectThat(store.calls.map { it.path }).isEqualTo(
+                listOf(
+                    "/objects/evacuations",
+                    "/objects/evacuations?after=east",
+                    "/objects/evacuations?watch=7&waitMs=28000",
+                ),
+            )
+        }
+
+        @Test
+        fun `is followed by what changed on its first page, and by nothing that its last page held already`() {
+            startAndList()
+            val events =
+                listOf("west" to 8L, "east" to 9L).joinToString(",") { (name, revision) ->
+                    """{"removed":false,"object":${stored(name, revision)}}"""
+                }
+            respond(2, """{"events":[$events],"currentRev":9}""")
+
+            expectThat(seen.toList()).isEqualTo(listOf("list east", "list west", "change east removed=false"))
+        }
+
+        @Test
+        fun `begins anew if a page fails, and is watched from its new first page`() {
+            watcher.start()
+            respond(0, firstPage)
+            store.calls[1].onResponse(null)
+            advance(600)
+            respond(2, firstPage.replace("\"currentRev\":7", "\"currentRev\":8"))
+            respond(3, lastPage(9))
+
+            expectThat(store.calls.last().path).isEqualTo("/objects/evacuations?watch=8&waitMs=28000")
+            expectThat(seen.toList()).isEqualTo(listOf("list east", "list west"))
+        }
+
+        @Test
+        fun `is not read on while another router passes the changes on`() {
+            watcher.start()
+            watcher.pause()
+            respond(0, firstPage)
+
+            expectThat(store.calls.size).isEqualTo(1)
+        }
+    }
+
     /** Guards against DRAIN and EVAC: a watch that was sent into a silence of the store hung for 29.5 s. */
     @Nested
     inner class `a watch that the store may never have received` {
