MIXED: an answer whose status line is none is no answer

Callers saw: an endpoint's statuses 000, 099, 600, 999, 20 and 2000 with the endpoint's seal, 000 as "HTTP/1.1 0"; 0200 and +200 as a 200.

Cause: Netty's response decoder reads the status with Integer.parseInt and splits the line at any blanks. Nothing after it asked whether the number is a status of HTTP.

Looked at with nothing to mend: 204 and 304 with a body (Netty ends them at their head; the bytes behind close the connection), and Content-Length, which Netty reads strictly.

--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/net/OutboundConnection.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/net/OutboundConnection.kt
@@ -149,6 +149,9 @@
         close()
     }
 
+    /** Fails the request in flight because of a head that no response has. */
+    fun onMalformedHead(problem: String): Unit = fail("not HTTP: $problem")
+
     private fun handleHead(response: HttpResponse) {
         headReceived = true
         val status = response.status().code()
