MIXED: an answer whose head or trailer holds a malformed line is no answer

Callers saw: "X Note: a" and "X-Note : a" in an endpoint's head passed as a 200, the first with a field "X" in place of the line. "Content-Length : 2" and "Transfer-Encoding : chunked" were obeyed, so that the body was another one than the endpoint's.

Cause: for responses, unlike requests, Netty's decoder takes the name of a field to end at the first blank and looks for the colon anywhere behind it. It joins folded lines, and of several transfer codings it looks for "chunked" only.

Change: the scanner, now byte by byte and in the model module so that other clients can use it, checks each line of a head: a name of token characters, the colon right behind it, line ends of two bytes. Names of trailers are checked where Netty splits them. A body whose length or coding can't be told (Content-Length beside Transfer-Encoding, a transfer coding other than chunked) fails the attempt too.

The same cause elsewhere: endpoints, store, followed routers and health checks go through the same decoder. Requests of callers: Netty is strict there, nothing found. Values of fields: Netty refuses NUL and line ends, nothing found.

--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/net/OutboundConnection.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/net/OutboundConnection.kt
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpResponse
@@ -155,10 +156,12 @@
     private fun handleHead(response: HttpResponse) {
         headReceived = true
         val status = response.status().code()
+        if (status == SWITCHING_PROTOCOLS) return fail("a switch of protocols that was not asked for")
         if (status in INFORMATIONAL) {
             isDiscarding = true
             return
         }
+        problemOf(response)?.let { return fail(it) }
         if (!HttpUtil.isKeepAlive(response) || isDelimitedByClose(response)) isReusable = false
         if (sentIds.size >= MAX_REQUESTS) isReusable = false
         updateIdleTimeout(response)
@@ -168,6 +171,13 @@
         if (isDiscarding) isReusable = false
     }
 
+    /** Why the body of [response] can't be told; null if it can. */
+    private fun problemOf(response: HttpResponse): String? {
+        val codings = response.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING)
+        val isChunked = codings.singleOrNull().equals("${HttpHeaderValues.CHUNKED}", ignoreCase = true)
+        return "transfer codings $codings".takeUnless { codings.isEmpty() || isChunked }
+    }
+
     private fun isDelimitedByClose(response: HttpResponse): Boolean =
         !HttpUtil.isTransferEncodingChunked(response) && !HttpUtil.isContentLengthSet(response)
 
@@ -243,6 +253,7 @@
         val LAST_NUMBER = AtomicLong()
         val METHODS_WITHOUT_BODY = setOf("GET", "HEAD", "DELETE", "OPTIONS")
         val INFORMATIONAL = 100..199
+        const val SWITCHING_PROTOCOLS = 101
         val KEEP_ALIVE_TIMEOUT = Regex("""timeout=(\d+)""")
 
         /** Bounds the ids that an open connection remembers. */
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/net/ResponseDecoder.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/net/ResponseDecoder.kt
@@ -1,11 +1,13 @@
 package dev.almondhaven.gateway.net
 
+import dev.almondhaven.http.ResponseHeadScanner
 import io.netty.buffer.ByteBuf
 import io.netty.channel.ChannelHandlerContext
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpResponseDecoder
 import io.netty.handler.codec.http.LastHttpContent
+import io.netty.util.AsciiString
 
 /**
  * Decodes the responses that [connection] waits for, each after its whole head has been checked. Bytes that arrive while
@@ -17,6 +19,9 @@
 ) : HttpResponseDecoder(limits) {
     private val head = ResponseHeadScanner()
 
+    /** Bytes of the head in the buffer that have been checked. */
+    private var checkedBytes = 0
+
     override fun decode(
         context: ChannelHandlerContext,
         buffer: ByteBuf,
@@ -27,16 +32,41 @@
             buffer.skipBytes(buffer.readableBytes())
             return
         }
-        val problem = head.scan(buffer)
-        if (problem != null) {
+        checkHead(buffer)
+        head.problem?.let { problem ->
             buffer.skipBytes(buffer.readableBytes())
             return connection.onMalformedHead(problem)
         }
         if (!head.isComplete) return
         super.decode(context, buffer, out)
-        if (out.lastOrNull() is LastHttpContent) head.reset()
+        if (out.lastOrNull() is LastHttpContent) {
+            head.reset()
+            checkedBytes = 0
+        }
+    }
+
+    private fun checkHead(buffer: ByteBuf) {
+        while (!head.isComplete && checkedBytes < buffer.readableBytes()) {
+            val byte = buffer.getByte(buffer.readerIndex() + checkedBytes)
+            checkedBytes++
+            if (!head.accept(byte)) return
+        }
+    }
+
+    /** Also the names of trailers are checked here; a decoder of responses ends a name at a blank. */
+    override fun splitHeaderName(
+        line: ByteArray,
+        start: Int,
+        length: Int,
+    ): AsciiString {
+        val isBeforeColon = line.getOrNull(start + length) == ':'.code.toByte()
+        require(isBeforeColon) { "the name of a field has no colon behind it" }
+        return super.splitHeaderName(line, start, length)
     }
 
+    override fun handleTransferEncodingChunkedWithContentLength(message: HttpMessage): Unit =
+        throw IllegalArgumentException("both Content-Length and Transfer-Encoding are present")
+
     override fun isContentAlwaysEmpty(response: HttpMessage): Boolean =
         connection.isHeadRequest || super.isContentAlwaysEmpty(response)
 }
--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/MalformedAnswerTest.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/MalformedAnswerTest.kt
@@ -70,6 +70,62 @@
         }
     }
 
+    @Nested
+    inner class `an answer whose head holds a malformed line` {
+        @Test
+        fun `fails, and is not repeated`() {
+            val lines =
+                listOf(
+                    "X Note: a",
+                    "X-Note : a",
+                    "X-Note\t: a",
+                    "X-No\u0001te: a",
+                    "X-Note\u0000: a",
+                    "X-N\u00e4me: a",
+                    ": a",
+                    "X-Note",
+                    " X-Note: a",
+                    "X-Note: a\r\n folded: b",
+                    "X-Note: a\rX-Other: b",
+                    "Content-Length : 2",
+                    "Content-Length\t: 2",
+                    "Transfer-Encoding : chunked",
+                )
+            val behind = lines.associateWith { line -> answerWith("Content-Length: 6", line) }
+            val before = lines.associate { line -> "first: $line" to answerWith(line, "Content-Length: 6") }
+            val alone = lines.associate { line -> "alone: $line" to answerWith(line, "Connection: close") }
+
+            expectAllFail(behind + before + alone)
+        }
+
+        @Test
+        fun `fails if the line stands in a trailer`() {
+            val chunks = "6\r\nbooked\r\n0\r\n"
+            val trailers = listOf("X Note: a", "X-Note : a", "X-Note", "X-No\u0001te: a")
+
+            expectAllFail(
+                trailers.associateWith { line ->
+                    { answer(fields = listOf("Transfer-Encoding: chunked"), body = "$chunks$line\r\n\r\n") }
+                },
+            )
+        }
+
+        @Test
+        fun `fails if the length of the body is ambiguous`() {
+            expectAllFail(
+                mapOf(
+                    "both" to answerWith("Content-Length: 6", "Transfer-Encoding: chunked"),
+                    "coded" to answerWith("Transfer-Encoding: gzip", "Connection: close"),
+                    "coded twice" to answerWith("Transfer-Encoding: gzip, chunked", "Connection: close"),
+                    "two lengths" to answerWith("Content-Length: 6", "Content-Length: 2"),
+                ),
+            )
+        }
+
+        private fun answerWith(vararg fields: String): ScriptedEndpoint.ReceivedRequest.() -> String =
+            { answer(fields = fields.toList()) }
+    }
+
     @Nested
     inner class `an unusual answer that is one` {
         @Test
@@ -84,6 +140,16 @@
                         "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" +
                             "HTTP/1.1 199 Of a later standard\r\n\r\n" + answer()
                     },
+                    "with fields without a value" to { answer(fields = listOf("X-Note:", "Content-Length:6")) },
+                    "with a name of all characters" to {
+                        answer(fields = listOf("!#$%&'*+-.^_`|~09azAZ: a", "Content-Length: 6"))
+                    },
+                    "in chunks with a trailer" to {
+                        answer(
+                            fields = listOf("Transfer-Encoding: CHUNKED"),
+                            body = "6\r\nbooked\r\n0\r\nX-Note: a\r\n\r\n",
+                        )
+                    },
                     "after an empty line" to { "\r\n" + answer() },
                 ),
             )
