MIXED: an answer without a length is complete only if its connection isn't reset

Callers saw: an endpoint answered an upload of 4 MB at once with a 200 that had no length, sent part of its body and closed the connection with the rest of the upload unread. 5 to 14 of 120 callers got the part as a complete answer.

Cause: the end of such an answer is the end of its connection, and a closing endpoint sends that end (FIN) and then the reset. A read after the two returns the end only; the reset shows on a write alone. If the kernel had taken the last byte of the upload by then, nothing wrote any more. In all successes that were traced (14 of 14) the request counted as written: it was in the buffers of the two kernels, not read. The guess that the answer ends before its request is written is true of the failures, whose writes break; it doesn't tell the successes apart.

Change: an answer without a length that ends before its request is written fails. If the request has a body and is written, the connection is kept half open behind the answer, and 10 ms later an empty line is written, which servers ignore before a request; the answer is complete if that write succeeds, and fails as one that may have run if the connection has been reset. Answers with a length or in chunks, and those to requests without a body, are read as before.

The same cause elsewhere: streams, the store, followed routers and health checks go through the same connection. An answer of known length that ends early already failed. Callers' requests: their length is always known. The own interface's clients (Armeria) follow apart.

--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/net/OutboundConnection.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/net/OutboundConnection.kt
@@ -6,6 +6,8 @@
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.ChannelOption
+import io.netty.channel.socket.ChannelInputShutdownEvent
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaderNames
@@ -17,6 +19,7 @@
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
+import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicLong
 
 private val logger = KotlinLogging.logger {}
@@ -35,11 +38,18 @@
     private var isDiscarding = false
     private var headReceived = false
     private var requestWritten = false
+    private var requestHasBody = false
     private var isReusable = true
 
+    /** Whether the end of the connection is the end of the response. */
+    private var isDelimitedByClose = false
+
     /** The listener of a response that has ended while bytes that arrived with it are still being read. */
     private var endedListener: OutboundListener? = null
 
+    /** The listener of a response that ended with its connection, until it is known that the peer didn't reset it. */
+    private var unconfirmedListener: OutboundListener? = null
+
     /** Whether a request is in flight whose response has not ended. */
     val isResponseDue: Boolean get() = listener != null
 
@@ -86,7 +96,9 @@
         sends++
         request.id?.let { sentIds += it.hashCode() }
         headReceived = false
+        isDelimitedByClose = false
         requestWritten = false
+        requestHasBody = request.body.isNotEmpty()
         unusedBytes = 0
         isHeadRequest = request.method == "HEAD"
         val content = if (request.body.isEmpty()) Unpooled.EMPTY_BUFFER else Unpooled.wrappedBuffer(request.body)
@@ -111,6 +123,7 @@
     fun cancel() {
         listener = null
         endedListener = null
+        unconfirmedListener = null
         close()
     }
 
@@ -162,7 +175,10 @@
             return
         }
         problemOf(response)?.let { return fail(it) }
-        if (!HttpUtil.isKeepAlive(response) || isDelimitedByClose(response)) isReusable = false
+        isDelimitedByClose = isDelimitedByClose(response)
+        if (!HttpUtil.isKeepAlive(response) || isDelimitedByClose) isReusable = false
+        // Keeps the connection open behind the end of the response, to see whether it is reset.
+        if (isDelimitedByClose && requestHasBody) channel.config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
         if (sentIds.size >= MAX_REQUESTS) isReusable = false
         updateIdleTimeout(response)
         val action = listener?.onHead(status, response.headers()) ?: HeadAction.SKIP
@@ -179,7 +195,8 @@
     }
 
     private fun isDelimitedByClose(response: HttpResponse): Boolean =
-        !HttpUtil.isTransferEncodingChunked(response) && !HttpUtil.isContentLengthSet(response)
+        !HttpUtil.isTransferEncodingChunked(response) && !HttpUtil.isContentLengthSet(response) &&
+            response.status().code() !in WITHOUT_BODY && !isHeadRequest
 
     private fun updateIdleTimeout(response: HttpResponse) {
         val stated = response.headers().get("Keep-Alive") ?: return
@@ -206,8 +223,11 @@
 
     /** Ends the response. A connection that stays open is offered again when all bytes that were read are looked at. */
     private fun complete() {
-        endedListener = listener ?: return
+        if (isDelimitedByClose && !requestWritten) return fail("ended before the request was written")
+        val ended = listener ?: return
         listener = null
+        if (isDelimitedByClose && requestHasBody) return scheduleResetCheck(ended)
+        endedListener = ended
         idleSince = System.nanoTime()
         setAutoRead(true)
         // If the response ended before the request was fully written, the rest of the body is still in transit.
@@ -216,6 +236,35 @@
         reportEnd()
     }
 
+    /**
+     * Completes a response that has ended with its connection, unless the peer resets the connection. A peer that closes
+     * it with part of the request unread sends the end first and the reset behind it, which only a write shows.
+     */
+    private fun scheduleResetCheck(ended: OutboundListener) {
+        unconfirmedListener = ended
+        channel.eventLoop().schedule(::checkReset, RESET_CHECK_MILLIS, TimeUnit.MILLISECONDS)
+    }
+
+    private fun checkReset() {
+        if (unconfirmedListener == null) return
+        // The encoder expects whole requests.
+        val behindEncoder = channel.pipeline().firstContext() ?: return
+        behindEncoder.writeAndFlush(Unpooled.copiedBuffer(EMPTY_LINE)).addListener { written ->
+            val confirmed = unconfirmedListener
+            if (written.isSuccess) unconfirmedListener = null
+            close()
+            if (written.isSuccess) confirmed?.onEnd()
+        }
+    }
+
+    /** The peer has ended the connection, which was kept open to see whether it resets it. */
+    override fun userEventTriggered(
+        context: ChannelHandlerContext,
+        event: Any,
+    ) {
+        if (event === ChannelInputShutdownEvent.INSTANCE && unconfirmedListener == null) close()
+    }
+
     /** Offers the connection for reuse, unless a byte followed the response, and reports the end of the response. */
     override fun channelReadComplete(context: ChannelHandlerContext) {
         val reported = endedListener ?: return
@@ -239,6 +288,9 @@
 
     override fun channelInactive(context: ChannelHandlerContext) {
         isReusable = false
+        val unconfirmed = unconfirmedListener
+        unconfirmedListener = null
+        unconfirmed?.onFailure(sent = true, reason = "reset behind the answer")
         reportEnd()
         fail(if (headReceived) "closed in the middle of the answer" else "closed without an answer")
     }
@@ -254,6 +306,15 @@
         val METHODS_WITHOUT_BODY = setOf("GET", "HEAD", "DELETE", "OPTIONS")
         val INFORMATIONAL = 100..199
         const val SWITCHING_PROTOCOLS = 101
+
+        /** Statuses of responses that end at their head. */
+        val WITHOUT_BODY = setOf(204, 304)
+
+        /** A line that servers ignore before a request. */
+        val EMPTY_LINE = "\r\n".toByteArray()
+
+        /** A reset follows the end of the connection within a round trip, which takes a few milliseconds. */
+        const val RESET_CHECK_MILLIS = 10L
         val KEEP_ALIVE_TIMEOUT = Regex("""timeout=(\d+)""")
 
         /** Bounds the ids that an open connection remembers. */
--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/GatewayFixture.kt
@@ -26,6 +26,8 @@
  * @param heldPath path of the store's objects that it doesn't return until [releaseStore].
  * @param evacuatedDomain failure domain that the store lists as evacuated; null for none.
  * @param otherEntries entries of other writers that the store lists among those of the endpoints.
+ * @param otherAddresses addresses of further endpoints that the store lists.
+ * @param bodyLimit bytes of the longest body of a request; null for the limit of the samples.
  * @param heldBytes bytes of incomplete responses that the gateway may hold in all.
  */
 internal class GatewayFixture(
@@ -34,6 +36,8 @@
     private val heldPath: String? = null,
     private val evacuatedDomain: String? = null,
     private val otherEntries: List<String> = emptyList(),
+    private val otherAddresses: List<String> = emptyList(),
+    private val bodyLimit: Int? = null,
     heldBytes: Long = BufferedBytes.ofHeap().limit,
 ) : AutoCloseable {
     private val heldResponses = ConcurrentLinkedQueue<() -> Unit>()
@@ -108,11 +112,12 @@
                 changes
                     ?: WireSamples.storeBody(
                         request.path,
-                        endpoints.map { it.address },
+                        endpoints.map { it.address } + otherAddresses,
                         evacuatedDomain,
                         otherEntries,
                     )
-            val body = storeRevision?.let { sample.replace(SAMPLE_REVISION, "\"currentRev\":$it}") } ?: sample
+            val limited = bodyLimit?.let { sample.replace(SAMPLE_BODY_LIMIT, "\"maxBodyBytes\":$it") } ?: sample
+            val body = storeRevision?.let { limited.replace(SAMPLE_REVISION, "\"currentRev\":$it}") } ?: limited
             val respond = { writer.respond(OK, listOf("Content-Type" to "application/json"), body.toByteArray()) }
             val isCut = isEndpointWatch && cutsEndpointWatch
             if (isCut) cutsEndpointWatch = false
@@ -183,6 +188,7 @@
 
         /** End of a watch that returns at once. */
         const val WITHOUT_WAIT = "&waitMs=0"
+        val SAMPLE_BODY_LIMIT = Regex(""""maxBodyBytes":\d+""")
         val SAMPLE_REVISION = Regex(""""currentRev":\d+\}$""")
         const val MAX_READY_CHECKS = 200
         const val READY_CHECK_INTERVAL_MILLIS = 20L
