--- a/operator/src/main/kotlin/dev/almondhaven/operator/RouterClient.kt
+++ b/operator/src/main/kotlin/dev/almondhaven/operator/RouterClient.kt
@@ -12,6 +12,7 @@
 import dev.almondhaven.peer.PeerKeyRing
 import dev.almondhaven.peer.PeerProtocol
 import dev.almondhaven.peer.PeerStatus
+import dev.almondhaven.store.ResponseHeadGuard
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.SerializationException
 import java.util.concurrent.CompletableFuture
@@ -59,6 +60,7 @@
     private fun client(address: String): WebClient =
         WebClient
             .builder("http://$address")
+            .factory(ResponseHeadGuard.CLIENT_FACTORY)
             .responseTimeoutMillis(RESPONSE_TIMEOUT.inWholeMilliseconds)
             .maxResponseLength(MAX_RESPONSE_BYTES)
             .build()
--- a/router/src/main/kotlin/dev/almondhaven/router/controller/RatingPoller.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/controller/RatingPoller.kt
@@ -5,6 +5,7 @@
 import dev.almondhaven.model.LogEvent
 import dev.almondhaven.model.Rating
 import dev.almondhaven.model.RatingPage
+import dev.almondhaven.store.ResponseHeadGuard
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.serialization.json.Json
 import java.net.URLEncoder
@@ -22,6 +23,7 @@
     private val client =
         WebClient
             .builder(address)
+            .factory(ResponseHeadGuard.CLIENT_FACTORY)
             .responseTimeoutMillis(RESPONSE_TIMEOUT_MILLIS)
             .build()
             .blocking()
--- a/router/src/main/kotlin/dev/almondhaven/router/endpoint/EndpointClients.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/endpoint/EndpointClients.kt
@@ -6,6 +6,7 @@
 import com.linecorp.armeria.common.SessionProtocol
 import com.linecorp.armeria.common.util.EventLoopGroups
 import dev.almondhaven.catalogue.Endpoint
+import dev.almondhaven.store.ResponseHeadGuard
 import io.netty.channel.EventLoopGroup
 import io.netty.util.AttributeMap
 import java.net.InetSocketAddress
@@ -20,8 +21,8 @@
 ) : AutoCloseable {
     private val closeListener = CloseListener()
     private val factory =
-        ClientFactory
-            .builder()
+        ResponseHeadGuard
+            .install(ClientFactory.builder())
             .workerGroup(workers, false)
             .eventLoopSchedulerFactory { SameEventLoopScheduler(it) }
             .connectTimeoutMillis(connectTimeout.inWholeMilliseconds)
--- a/router/src/main/kotlin/dev/almondhaven/router/order/EngineClient.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/order/EngineClient.kt
@@ -11,6 +11,7 @@
 import dev.almondhaven.engine.EngineOrder
 import dev.almondhaven.engine.EngineReport
 import dev.almondhaven.peer.PeerProtocol
+import dev.almondhaven.store.ResponseHeadGuard
 import java.util.concurrent.CompletableFuture
 import kotlin.time.Duration
 
@@ -18,7 +19,11 @@
 internal class EngineClient(
     private val timeout: Duration,
 ) : AutoCloseable {
-    private val factory = ClientFactory.builder().connectTimeoutMillis(timeout.inWholeMilliseconds).build()
+    private val factory =
+        ResponseHeadGuard
+            .install(ClientFactory.builder())
+            .connectTimeoutMillis(timeout.inWholeMilliseconds)
+            .build()
 
     /** Requests the report of [endpoint]; null if there is no valid response. */
     fun fetchReport(endpoint: Endpoint): CompletableFuture<EngineReport?> =
--- a/router/src/main/kotlin/dev/almondhaven/router/peer/HttpPeerTransport.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/peer/HttpPeerTransport.kt
@@ -16,6 +16,7 @@
 import dev.almondhaven.decision.membership.Member
 import dev.almondhaven.peer.PeerKeyRing
 import dev.almondhaven.peer.PeerProtocol
+import dev.almondhaven.store.ResponseHeadGuard
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.CompletionException
 import java.util.concurrent.ConcurrentHashMap
@@ -33,8 +34,8 @@
     AutoCloseable {
     private val workers = EventLoopGroups.newEventLoopGroup(1, "peer-client")
     private val factory =
-        ClientFactory
-            .builder()
+        ResponseHeadGuard
+            .install(ClientFactory.builder())
             .workerGroup(workers, false)
             .connectTimeoutMillis(timeout.inWholeMilliseconds)
             .idleTimeoutMillis(CONNECTION_IDLE_TIMEOUT_MILLIS)
--- a/router/src/main/kotlin/dev/almondhaven/router/peer/VmListPoller.kt
+++ b/router/src/main/kotlin/dev/almondhaven/router/peer/VmListPoller.kt
@@ -5,6 +5,7 @@
 import dev.almondhaven.peer.PeerProtocol
 import dev.almondhaven.peer.VmListEntry
 import dev.almondhaven.peer.VmState
+import dev.almondhaven.store.ResponseHeadGuard
 import kotlinx.serialization.builtins.ListSerializer
 import java.net.URI
 import java.util.concurrent.atomic.AtomicBoolean
@@ -20,6 +21,7 @@
     private val client =
         WebClient
             .builder(URI(address).resolve("/"))
+            .factory(ResponseHeadGuard.CLIENT_FACTORY)
             .responseTimeoutMillis(RESPONSE_TIMEOUT.inWholeMilliseconds)
             .build()
     private val latestAddresses = AtomicReference<List<String>>()
--- a/router/src/test/kotlin/dev/almondhaven/router/StutteringServer.kt
+++ b/router/src/test/kotlin/dev/almondhaven/router/StutteringServer.kt
@@ -31,6 +31,9 @@
             socket.getOutputStream().write(text.toByteArray())
             socket.getOutputStream().flush()
         }
+
+        /** Closes the connection. */
+        fun close(): Unit = socket.close()
     }
 
     private val server = ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress())
--- a/store/src/main/kotlin/dev/almondhaven/store/HttpObjectStore.kt
+++ b/store/src/main/kotlin/dev/almondhaven/store/HttpObjectStore.kt
@@ -38,6 +38,7 @@
     private val client =
         WebClient
             .builder(address)
+            .factory(ResponseHeadGuard.CLIENT_FACTORY)
             .responseTimeoutMillis(callTimeout.inWholeMilliseconds)
             .maxResponseLength(MAXIMUM_RESPONSE_BYTES)
             .build()
