--- a/store/src/main/kotlin/dev/almondhaven/store/ResponseHeadGuard.kt
+++ b/store/src/main/kotlin/dev/almondhaven/store/ResponseHeadGuard.kt
@@ -5,14 +5,19 @@
 import com.linecorp.armeria.client.ClientFactoryOptions
 import dev.almondhaven.http.ResponseHeadScanner
 import io.netty.buffer.ByteBuf
+import io.netty.buffer.Unpooled
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.ChannelOption
 import io.netty.channel.ChannelPipeline
+import io.netty.channel.socket.ChannelInputShutdownEvent
 import io.netty.handler.codec.http.HttpClientCodec
 import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
 import java.io.IOException
+import java.util.concurrent.TimeUnit
 import java.util.function.Consumer
 
 /**
@@ -37,6 +42,7 @@
         private val observer = ResponseObserver(head)
         private var isHttp1: Boolean? = null
         private var isObserving = false
+        private var isEndUnconfirmed = false
 
         override fun channelRead(
             context: ChannelHandlerContext,
@@ -89,24 +95,73 @@
             context.fireExceptionCaught(IOException("not HTTP: $problem"))
             context.close()
         }
+
+        /**
+         * Confirms the end of a response that ends with its connection. A server that closes it with part of the request
+         * unread sends the end first and a reset behind it, which only a write shows.
+         */
+        override fun userEventTriggered(
+            context: ChannelHandlerContext,
+            event: Any,
+        ) {
+            if (event !== ChannelInputShutdownEvent.INSTANCE) {
+                context.fireUserEventTriggered(event)
+                return
+            }
+            isEndUnconfirmed = true
+            context.executor().schedule({ confirmEnd(context) }, RESET_CHECK_MILLIS, TimeUnit.MILLISECONDS)
+        }
+
+        private fun confirmEnd(context: ChannelHandlerContext) {
+            context.writeAndFlush(Unpooled.copiedBuffer(EMPTY_LINE)).addListener { written ->
+                isEndUnconfirmed = !written.isSuccess
+                if (written.isSuccess) context.fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE)
+                context.close()
+            }
+        }
+
+        override fun channelInactive(context: ChannelHandlerContext) {
+            observer.isCut = isEndUnconfirmed
+            context.fireChannelInactive()
+        }
     }
 
-    /** Resets [head] at the end of each response that is no interim one. */
+    /** Resets [head] at the end of each response that is no interim one, and lets no cut one end. */
     private class ResponseObserver(
         private val head: ResponseHeadScanner,
     ) : ChannelInboundHandlerAdapter() {
         private var isInterim = false
 
+        /** Whether the connection was reset behind the response, whose end the decoder takes for the end of its body. */
+        var isCut = false
+
         override fun channelRead(
             context: ChannelHandlerContext,
             message: Any,
         ) {
-            if (message is HttpResponse) isInterim = message.status().code() in INFORMATIONAL
-            if (message is LastHttpContent && !isInterim) head.reset()
-            context.fireChannelRead(message)
+            if (message is HttpResponse) onHead(context, message)
+            val isEnd = message is LastHttpContent && !isInterim
+            if (isEnd) head.reset()
+            if (isEnd && isCut) ReferenceCountUtil.release(message) else context.fireChannelRead(message)
+        }
+
+        private fun onHead(
+            context: ChannelHandlerContext,
+            response: HttpResponse,
+        ) {
+            isInterim = response.status().code() in INFORMATIONAL
+            val hasLength = HttpUtil.isTransferEncodingChunked(response) || HttpUtil.isContentLengthSet(response)
+            // Keeps the connection open behind the end of the response, to see whether it is reset.
+            if (!isInterim && !hasLength) context.channel().config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
         }
     }
 
     private const val SWITCHING_PROTOCOLS = 101
     private val INFORMATIONAL = 100..199
+
+    /** A line that servers ignore before a request. */
+    private val EMPTY_LINE = "\r\n".toByteArray()
+
+    /** A reset follows the end of the connection within a round trip, which takes a few milliseconds. */
+    private const val RESET_CHECK_MILLIS = 10L
 }
