Reword the new code of the gateway

Names and comments only: a function that shared its name with a property, a comment on what other routers lack, and the error of an unknown transfer coding begins like those of other malformed heads. The tests of the files concerned pass.

--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/GracefulShutdown.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/GracefulShutdown.kt
@@ -36,6 +36,7 @@
 
     private fun drain(): Boolean = onLoop { servers.map { it.drain() }.all { it } }
 
+    /** Ends what is left; what it closes counts as closed at the next check. */
     private fun endRequests(): Boolean =
         drain().also {
             onLoop {
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/net/OutboundConnection.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/net/OutboundConnection.kt
@@ -174,8 +174,8 @@
             isDiscarding = true
             return
         }
-        problemOf(response)?.let { return fail(it) }
-        isDelimitedByClose = isDelimitedByClose(response)
+        unknownCodingOf(response)?.let { return fail("not HTTP: transfer codings $it") }
+        isDelimitedByClose = endsWithConnection(response)
         if (!HttpUtil.isKeepAlive(response) || isDelimitedByClose) isReusable = false
         // Keeps the connection open behind the end of the response, to see whether it is reset.
         if (isDelimitedByClose && requestHasBody) channel.config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
@@ -187,14 +187,14 @@
         if (isDiscarding) isReusable = false
     }
 
-    /** Why the body of [response] can't be told; null if it can. */
-    private fun problemOf(response: HttpResponse): String? {
+    /** The transfer codings of [response] if they are others than "chunked", the only one that is decoded. */
+    private fun unknownCodingOf(response: HttpResponse): List<String>? {
         val codings = response.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING)
         val isChunked = codings.singleOrNull().equals("${HttpHeaderValues.CHUNKED}", ignoreCase = true)
-        return "transfer codings $codings".takeUnless { codings.isEmpty() || isChunked }
+        return codings.takeUnless { it.isEmpty() || isChunked }
     }
 
-    private fun isDelimitedByClose(response: HttpResponse): Boolean =
+    private fun endsWithConnection(response: HttpResponse): Boolean =
         !HttpUtil.isTransferEncodingChunked(response) && !HttpUtil.isContentLengthSet(response) &&
             response.status().code() !in WITHOUT_BODY && !isHeadRequest
 
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/net/ResponseDecoder.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/net/ResponseDecoder.kt
@@ -53,7 +53,7 @@
         }
     }
 
-    /** Also the names of trailers are checked here; a decoder of responses ends a name at a blank. */
+    /** Checks the names of trailers, which [head] doesn't see: for responses, Netty ends a name at a blank too. */
     override fun splitHeaderName(
         line: ByteArray,
         start: Int,
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/state/KindHistory.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/state/KindHistory.kt
@@ -55,7 +55,7 @@
         advance(revision)
         if (changes.isEmpty()) return changes
         val news = changes.filter(::apply)
-        // A router that knows more than the first page of this one's list, but not all of its last one, lacks them all.
+        // Other routers may lack what this one's list held already, so all changes are kept for them.
         batches.addLast(Batch(this.revision, changes))
         while (batches.sumOf { it.changes.size } > MAX_CHANGES) firstRevision = batches.removeFirst().revision
         return news
