The guard of the own interface leaves 204 and 304 out of the check for a reset

A 204 or 304 without a length ends at its head, so its connection may be used again; with half-closure allowed on it, a later end of the idle connection would have been noticed 10 ms late. The doc comment names both kinds of responses that the guard refuses. MalformedAnswerTest, CutAnswerTest and RepeatedAnswerTest of the router module pass.

--- a/store/src/main/kotlin/dev/almondhaven/store/ResponseHeadGuard.kt
+++ b/store/src/main/kotlin/dev/almondhaven/store/ResponseHeadGuard.kt
@@ -21,15 +21,15 @@
 import java.util.function.Consumer
 
 /**
- * Refuses heads of HTTP/1.1 responses that are malformed, by closing their connection: Armeria's client passes unknown
- * status codes on, and takes a field with a blank behind its name for one without it. Connections that speak HTTP/2 are
- * left alone; their frames have no such lines.
+ * Makes Armeria's clients refuse two kinds of HTTP/1.1 responses, whose calls then fail with a closed connection: those
+ * whose head is malformed, as by an unknown status or a blank behind the name of a field, and those that have no length
+ * and whose connection is reset behind what has arrived. Connections that speak HTTP/2 are left alone.
  */
 public object ResponseHeadGuard {
     /** The factory of clients that need no settings of their own. */
     public val CLIENT_FACTORY: ClientFactory by lazy { install(ClientFactory.builder()).build() }
 
-    /** Makes the clients of the factory that [builder] builds check the heads of their responses. */
+    /** Makes the clients of the factory that [builder] builds refuse such responses, and returns [builder]. */
     public fun install(builder: ClientFactoryBuilder): ClientFactoryBuilder =
         builder.option(
             ClientFactoryOptions.CHANNEL_PIPELINE_CUSTOMIZER,
@@ -151,13 +151,15 @@
         ) {
             isInterim = response.status().code() in INFORMATIONAL
             val hasLength = HttpUtil.isTransferEncodingChunked(response) || HttpUtil.isContentLengthSet(response)
+            val endsAtHead = isInterim || response.status().code() in WITHOUT_BODY
             // Keeps the connection open behind the end of the response, to see whether it is reset.
-            if (!isInterim && !hasLength) context.channel().config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
+            if (!endsAtHead && !hasLength) context.channel().config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
         }
     }
 
     private const val SWITCHING_PROTOCOLS = 101
     private val INFORMATIONAL = 100..199
+    private val WITHOUT_BODY = setOf(204, 304)
 
     /** A line that servers ignore before a request. */
     private val EMPTY_LINE = "\r\n".toByteArray()
