CallerServerTest waits until a part of a request has been read

It slept for 50 ms, which a loaded machine may exceed; it now looks each millisecond, 2,000 times at most. The check is the same: without the fix of the server never becomes busy. Found by reading; it had not failed.

--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/net/CallerServerTest.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/net/CallerServerTest.kt
@@ -88,6 +88,12 @@
     inner class `a connection counts as busy` {
         private fun isBusy() = onLoop { server.isBusy }
 
+        /** Waits until the event loop has read what was sent. */
+        private fun becomesBusy(): Boolean =
+            generateSequence { isBusy().also { if (!it) TimeUnit.MILLISECONDS.sleep(1) } }
+                .take(MOST_CHECKS)
+                .any { it }
+
         private fun closeIdle(): Unit = onLoop { server.drain() }.let {}
 
         @Test
@@ -95,7 +101,6 @@
             body = ByteArray(LARGE_BODY_BYTES)
             val caller = send("/slow")
             while (caller.getInputStream().read() != '\r'.code) continue
-            TimeUnit.MILLISECONDS.sleep(SETTLE_MILLIS)
 
             expectThat(isBusy()).isEqualTo(true)
             closeIdle()
@@ -107,9 +112,8 @@
             val caller = Socket("127.0.0.1", port)
             val request = "GET /parts HTTP/1.1\r\nHost: a\r\n\r\n"
             caller.getOutputStream().write(request.take(request.length / 2).toByteArray())
-            TimeUnit.MILLISECONDS.sleep(SETTLE_MILLIS)
 
-            expectThat(isBusy()).isEqualTo(true)
+            expectThat(becomesBusy()).isEqualTo(true)
             closeIdle()
             caller.getOutputStream().write(request.drop(request.length / 2).toByteArray())
             expectThat(caller.getInputStream().read()).isEqualTo('H'.code)
@@ -247,6 +251,7 @@
         const val CALLERS = 8
         const val LONGEST_PAUSE_MICROS = 20_000L
         const val PATIENCE_SECONDS = 5L
+        const val MOST_CHECKS = 2_000
         val QUIET_PERIOD = 10.milliseconds
 
         /** Several turns of the event loop. */
