CallerServerTest: wait until the event loop is held before sending

Cause: whileLoopIsBusy queued the task that holds the event loop and went on at once, so the loop could read the request before it was held, and the close after it. The assertion is unchanged; the test now always has the situation that it describes.

--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/net/CallerServerTest.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/net/CallerServerTest.kt
@@ -46,8 +46,13 @@
 
     /** Keeps the event loop busy while [action] runs, as the start of the process does. */
     private fun whileLoopIsBusy(action: () -> Unit) {
+        val blocked = CountDownLatch(1)
         val released = CountDownLatch(1)
-        group.next().execute { released.await() }
+        group.next().execute {
+            blocked.countDown()
+            released.await()
+        }
+        blocked.await()
         action()
         released.countDown()
     }
