--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/net/CallerServer.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/net/CallerServer.kt
@@ -136,7 +136,7 @@
                 open.channel.pipeline().fireChannelRead(NioSocketChannel(open.channel, socket))
             }
         } catch (failure: IOException) {
-            LogEvent.DUTY_FAILED.log(logger, failure) { "accepting the last connections" }
+            LogEvent.DUTY_FAILED.log(logger, failure) { "duty=\"accept the last connections\"" }
         }
         open.channel.close()
     }
