Review case 11: a burst of uploads ends the router's event loop

The cases 11 to 14 so far are now 12 to 15, the gravest first; their code is the same but for the names of the classes.

--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
-# TROUBLE=0: no SIGTERM, and the replica doesn't pause.
+# TROUBLE=0: the other writer's entry is short.
 here=$(cd "$(dirname "$0")" && pwd)
 exec "$here/../standins-3/run-case.sh" Case13 "$here"
--- a/review/standins-3/Case11.java
+++ b/review/standins-3/Case11.java
@@ -1,92 +1,101 @@
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
 
-/** Many versions of a long configuration, and then a version that moves a route to another service. */
+/** Many users come at once, and leave; later requests come when the router has had time to recover. */
 final class Case11 {
-    private static final int MORE_ROUTES = 1400;
-    private static final int CHANGES = 120;
-    private static final int GAP_MILLIS = 330;
+    private static final int BURST = 800;
+    private static final int USUAL = 80;
+    private static final int BODY_BYTES = 72_000;
+    private static final int WORK_MILLIS = 3_000;
+    private static final int LATER = 20;
+    private static final int TIMEOUT_MILLIS = 3_000;
 
     public static void main(String[] arguments) throws Exception {
         Path root = Path.of(arguments[0]);
         Path folder = Path.of(arguments[1]);
         Stand.openRecord(Path.of(arguments[2]));
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-        Map<String, String> ranAt = new ConcurrentHashMap<>();
-        Store store = new Store("127.0.0.1");
+        Map<String, Boolean> ran = new ConcurrentHashMap<>();
         Replica.Behaviour behaviour = (replica, request, socket, out) -> {
             String attempt = request.header("X-Almondhaven-Attempt-Id");
-            ranAt.put(attempt, replica.id);
-            Thread.sleep(20);
-            Replica.respond(out, 200, attempt, "", (replica.id + "\n").getBytes());
+            ran.put(attempt, true);
+            Thread.sleep(attempt.startsWith("order-") ? WORK_MILLIS : 20);
+            Replica.respond(out, 200, attempt, "", "ok\n".getBytes());
         };
-        Replica old = new Replica("i-old", "127.0.0.1", behaviour);
-        Replica next = new Replica("i-new", "127.0.0.1", behaviour);
-        store.put("servers", old.id, old.entry("price-list-old", "cwm-a", 6));
-        store.put("servers", next.id, next.entry("price-list-new", "cwm-a", 6));
-        int more = trouble ? MORE_ROUTES : 0;
-        store.put("config", "main", configuration(1, more, 0, "price-list-old"));
-        Stand.log("configuration of " + (2 + more) + " routes, "
-            + Json.write(configuration(1, more, 0, "price-list-old")).length() + " bytes");
+        Store store = new Store("127.0.0.1");
+        for (int i = 0; i < 6; i++) {
+            Replica replica = new Replica("i-" + i, "127.0.0.1", behaviour);
+            store.put("servers", replica.id, replica.entry("order-desk", "cwm-a", 200));
+        }
+        store.put("config", "main", Config.of(7, List.of(
+            Config.route("r-order", "/order/", "non_idempotent", "order-desk", 10_000, 200, 1),
+            Config.route("r-look", "/look/", "idempotent", "order-desk", TIMEOUT_MILLIS, 200, 2)),
+            List.of(Config.service("order-desk"))));
         Router router = new Router("front-cwm-a-1", "cwm-a", root, folder, store, Router.bounds());
         router.start();
         if (!router.awaitReady(20_000)) Stand.finish(2, "the router isn't ready");
-        long version = 1;
-        for (int change = 1; change <= CHANGES; change++) {
-            version += 3;
-            store.put("config", "main", configuration(version, more, change % 2, "price-list-old"));
-            Thread.sleep(GAP_MILLIS);
-            if (change % 10 == 0) {
-                Stand.log("version " + version + ", the " + change + "th change: GET /look/a -> " + get(router, "before-" + change,
-                    "/look/a") + ", GET /order/a -> " + get(router, "keyed-" + change, "/order/a") + ", ready "
-                    + router.readiness() + ", process alive " + router.isAlive());
-            }
+        int count = trouble ? BURST : USUAL;
+        Stand.log(count + " clients send one request of " + BODY_BYTES + " bytes each");
+        Map<String, AtomicInteger> results = new TreeMap<>();
+        List<Thread> clients = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            String id = "order-" + i;
+            clients.add(Stand.daemon(() -> {
+                String result;
+                try (Client client = new Client(router.front, 0)) {
+                    client.socket.setSoTimeout(10_000);
+                    client.send("POST", "/order/a", id, 9_000, Config.KEY, "", new byte[BODY_BYTES]);
+                    Http.Message answer = client.read();
+                    result = answer == null ? "connection closed" : "status " + answer.status();
+                } catch (Exception failure) {
+                    result = failure.getMessage();
+                }
+                String line = result + (ran.containsKey(id) ? ", has run" : ", has not run");
+                synchronized (results) {
+                    results.computeIfAbsent(line, l -> new AtomicInteger()).incrementAndGet();
+                }
+            }));
         }
-        version += 3;
-        store.put("config", "main", configuration(version, more, 0, "price-list-new"));
-        Stand.log("version " + version + " acknowledged: /look/ moves from price-list-old to price-list-new");
-        Thread.sleep(5_000);
-        int stale = 0;
-        int current = 0;
-        for (int i = 0; i < 20; i++) {
-            String id = "after-" + i;
-            String answer = get(router, id, "/look/a");
-            String keyed = get(router, "after-keyed-" + i, "/order/a");
-            if ("i-old".equals(ranAt.get(id))) stale++;
-            if ("i-new".equals(ranAt.get(id))) current++;
-            Stand.log("request " + id + ", sent more than 5 s after the acknowledgement: " + answer + ", run by " + ranAt.get(id)
-                + "; with a key: " + keyed + "; ready " + router.readiness());
-            Thread.sleep(500);
+        for (Thread client : clients) client.join(30_000);
+        synchronized (results) {
+            results.forEach((result, number) -> Stand.log(number + " of " + count + ": " + result));
         }
-        String counts = stale + " of 20 requests run by the old service, " + current + " by the new one";
-        if (stale > 0) Stand.finish(1, "CONFIG broken: " + counts);
-        Stand.finish(0, "CONFIG held: " + counts);
-    }
-
-    private static String get(Router router, String id, String path) {
-        try (Client client = new Client(router.front, 0)) {
-            client.socket.setSoTimeout(5_000);
-            client.send("GET", path, id, 5_000, Config.KEY, "", new byte[0]);
-            Http.Message answer = client.read();
-            return answer == null ? "closed" : answer.status() + " " + new String(answer.body).trim();
-        } catch (Exception failure) {
-            return failure.toString();
+        Stand.log("all clients have left; ready " + router.readiness());
+        Thread.sleep(12_000);
+        AtomicInteger unanswered = new AtomicInteger();
+        List<Thread> later = new ArrayList<>();
+        for (int i = 0; i < LATER; i++) {
+            String id = "look-" + i;
+            later.add(Stand.daemon(() -> {
+                String result;
+                long sent = System.nanoTime();
+                try (Client client = new Client(router.front, 0)) {
+                    client.socket.setSoTimeout(TIMEOUT_MILLIS + 1_500);
+                    client.send("GET", "/look/a", id, TIMEOUT_MILLIS + 2_000, Config.KEY, "", new byte[0]);
+                    Http.Message answer = client.read();
+                    result = answer == null ? "connection closed" : "status " + answer.status();
+                } catch (Exception failure) {
+                    result = failure.getMessage();
+                }
+                double took = (System.nanoTime() - sent) / 1e9;
+                if (took > (TIMEOUT_MILLIS + 500) / 1e3) unanswered.incrementAndGet();
+                Stand.log(String.format("request %s, 12 s after the last client has left: %s after %.2f s", id, result, took));
+            }));
+            Thread.sleep(100);
         }
-    }
-
-    /** One public route and one for keys; the other routes are those of other departments, which nobody calls here. */
-    private static Map<String, Object> configuration(long version, int more, int odd, String service) {
-        List<Object> routes = new ArrayList<>();
-        Map<String, Object> look = Config.route("r-look", "/look/", "idempotent", service, 10_000, 200, 2);
-        look.put("public", true);
-        routes.add(look);
-        routes.add(Config.route("r-order", "/order/", "idempotent", "price-list-old", 10_000 + odd, 200, 2));
-        for (int i = 0; i < more; i++) {
-            routes.add(Config.route("r-" + i, "/route" + i + "/", "idempotent", "price-list-old", 10_000, 200, 2));
+        for (Thread client : later) client.join(10_000);
+        Stand.log("ready " + router.readiness() + ", process alive " + router.isAlive());
+        for (String line : Files.readAllLines(router.log())) {
+            if (line.contains("OutOfMemoryError")) Stand.log("the router has written: " + line);
         }
-        return Config.of(version, routes, List.of(Config.service("price-list-old"), Config.service("price-list-new")));
+        String counts = unanswered + " of " + LATER + " requests unanswered 0.5 s after their route's timeoutMs";
+        if (unanswered.get() >= 8 && unanswered.get() > LATER / 2) Stand.finish(1, "CONFIG broken: " + counts);
+        Stand.finish(unanswered.get() == 0 ? 0 : 2, "CONFIG held: " + counts);
     }
 }
--- a/review/standins-3/Case12.java
+++ b/review/standins-3/Case12.java
@@ -1,15 +1,14 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 
-/** An entry of kind servers that comes from another writer and names no replica; then a replica drains. */
+/** Many versions of a long configuration, and then a version that moves a route to another service. */
 final class Case12 {
-    private static final int WRITES = 8;
-    private static final int HEARTBEAT_MILLIS = 1_200;
-    private static final int ELEMENTS = 500_000;
+    private static final int MORE_ROUTES = 1400;
+    private static final int CHANGES = 120;
+    private static final int GAP_MILLIS = 330;
 
     public static void main(String[] arguments) throws Exception {
         Path root = Path.of(arguments[0]);
@@ -17,51 +16,54 @@
         Stand.openRecord(Path.of(arguments[2]));
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
         Map<String, String> ranAt = new ConcurrentHashMap<>();
+        Store store = new Store("127.0.0.1");
         Replica.Behaviour behaviour = (replica, request, socket, out) -> {
             String attempt = request.header("X-Almondhaven-Attempt-Id");
             ranAt.put(attempt, replica.id);
             Thread.sleep(20);
             Replica.respond(out, 200, attempt, "", (replica.id + "\n").getBytes());
         };
-        Store store = new Store("127.0.0.1");
-        Replica leaving = new Replica("i-leaving", "127.0.0.1", behaviour);
-        Replica staying = new Replica("i-staying", "127.0.0.1", behaviour);
-        store.put("servers", leaving.id, leaving.entry("order-desk", "cwm-a", 6));
-        store.put("servers", staying.id, staying.entry("order-desk", "cwm-a", 6));
-        store.put("config", "main", Config.of(7, List.of(Config.route("r-look", "/look/", "idempotent", "order-desk", 10_000, 200,
-            2)), List.of(Config.service("order-desk"))));
+        Replica old = new Replica("i-old", "127.0.0.1", behaviour);
+        Replica next = new Replica("i-new", "127.0.0.1", behaviour);
+        store.put("servers", old.id, old.entry("price-list-old", "cwm-a", 6));
+        store.put("servers", next.id, next.entry("price-list-new", "cwm-a", 6));
+        int more = trouble ? MORE_ROUTES : 0;
+        store.put("config", "main", configuration(1, more, 0, "price-list-old"));
+        Stand.log("configuration of " + (2 + more) + " routes, "
+            + Json.write(configuration(1, more, 0, "price-list-old")).length() + " bytes");
         Router router = new Router("front-cwm-a-1", "cwm-a", root, folder, store, Router.bounds());
         router.start();
         if (!router.awaitReady(20_000)) Stand.finish(2, "the router isn't ready");
-        Thread.sleep(1_000);
-        List<Object> data = new ArrayList<>(Collections.nCopies(trouble ? ELEMENTS : 1, 0L));
-        for (int write = 1; write <= WRITES; write++) {
-            Map<String, Object> spec = Json.map("service", 7L, "state", "unknown", "seqNo", (long) write, "data", data);
-            store.put("servers", "other-writer", spec);
-            Stand.log("another writer writes its entry for the " + write + "th time, " + Json.write(spec).length() + " bytes");
-            Thread.sleep(HEARTBEAT_MILLIS);
+        long version = 1;
+        for (int change = 1; change <= CHANGES; change++) {
+            version += 3;
+            store.put("config", "main", configuration(version, more, change % 2, "price-list-old"));
+            Thread.sleep(GAP_MILLIS);
+            if (change % 10 == 0) {
+                Stand.log("version " + version + ", the " + change + "th change: GET /look/a -> " + get(router, "before-" + change,
+                    "/look/a") + ", GET /order/a -> " + get(router, "keyed-" + change, "/order/a") + ", ready "
+                    + router.readiness() + ", process alive " + router.isAlive());
+            }
         }
-        Stand.log("GET /look/a -> " + get(router, "before", "/look/a") + ", ready " + router.readiness());
-        Thread.sleep(5_000);
-        Map<String, Object> entry = leaving.entry("order-desk", "cwm-a", 6);
-        entry.put("state", "draining");
-        store.put("servers", leaving.id, entry);
-        Stand.log("the store has acknowledged that " + leaving.id + " drains");
+        version += 3;
+        store.put("config", "main", configuration(version, more, 0, "price-list-new"));
+        Stand.log("version " + version + " acknowledged: /look/ moves from price-list-old to price-list-new");
         Thread.sleep(5_000);
-        int late = 0;
-        int sound = 0;
-        for (int i = 0; i < 40; i++) {
+        int stale = 0;
+        int current = 0;
+        for (int i = 0; i < 20; i++) {
             String id = "after-" + i;
             String answer = get(router, id, "/look/a");
-            if (leaving.id.equals(ranAt.get(id))) late++;
-            if (staying.id.equals(ranAt.get(id))) sound++;
-            Stand.log("request " + id + ", sent more than 5 s after the acknowledgement: " + answer);
-            Thread.sleep(100);
+            String keyed = get(router, "after-keyed-" + i, "/order/a");
+            if ("i-old".equals(ranAt.get(id))) stale++;
+            if ("i-new".equals(ranAt.get(id))) current++;
+            Stand.log("request " + id + ", sent more than 5 s after the acknowledgement: " + answer + ", run by " + ranAt.get(id)
+                + "; with a key: " + keyed + "; ready " + router.readiness());
+            Thread.sleep(500);
         }
-        Stand.log("ready " + router.readiness() + ", process alive " + router.isAlive());
-        String counts = late + " of 40 requests reached the replica that drains, " + sound + " the other one";
-        if (late > 0) Stand.finish(1, "DRAIN broken: " + counts);
-        Stand.finish(sound == 40 ? 0 : 2, "DRAIN held: " + counts);
+        String counts = stale + " of 20 requests run by the old service, " + current + " by the new one";
+        if (stale > 0) Stand.finish(1, "CONFIG broken: " + counts);
+        Stand.finish(0, "CONFIG held: " + counts);
     }
 
     private static String get(Router router, String id, String path) {
@@ -74,4 +76,17 @@
             return failure.toString();
         }
     }
+
+    /** One public route and one for keys; the other routes are those of other departments, which nobody calls here. */
+    private static Map<String, Object> configuration(long version, int more, int odd, String service) {
+        List<Object> routes = new ArrayList<>();
+        Map<String, Object> look = Config.route("r-look", "/look/", "idempotent", service, 10_000, 200, 2);
+        look.put("public", true);
+        routes.add(look);
+        routes.add(Config.route("r-order", "/order/", "idempotent", "price-list-old", 10_000 + odd, 200, 2));
+        for (int i = 0; i < more; i++) {
+            routes.add(Config.route("r-" + i, "/route" + i + "/", "idempotent", "price-list-old", 10_000, 200, 2));
+        }
+        return Config.of(version, routes, List.of(Config.service("price-list-old"), Config.service("price-list-new")));
+    }
 }
