--- a/review/standins-3/Case11.java
+++ b/review/standins-3/Case11.java
@@ -56,6 +56,7 @@
                 } catch (Exception failure) {
                     result = failure.getMessage();
                 }
+                Stand.log(id + ": " + result);
                 String line = result + (ran.containsKey(id) ? ", has run" : ", has not run");
                 synchronized (results) {
                     results.computeIfAbsent(line, l -> new AtomicInteger()).incrementAndGet();
--- a/review/standins-3/Case14.java
+++ b/review/standins-3/Case14.java
@@ -31,7 +31,7 @@
             String resume = request.header("Last-Event-Id");
             int first = resume == null ? 1 : Integer.parseInt(resume) + 1;
             passedOn.put(attempt, true);
-            Stand.log("replica " + replica.id + " runs " + attempt + " from event " + first);
+            Stand.log("replica " + replica.id + " begins " + attempt + " with event " + first);
             String head = "HTTP/1.1 200 OK\r\nX-Almondhaven-Attempt-Id: " + attempt + "\r\nX-Almondhaven-Response-Seal: "
                 + Replica.seal(attempt) + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
             awaitPauseEnd();
@@ -76,7 +76,6 @@
                 int events = 0;
                 try (Client client = new Client(router.front, 0)) {
                     client.socket.setSoTimeout(15_000);
-                    Stand.log("client sends " + id);
                     client.send("POST", "/query/a", id, 20_000, Config.KEY, "X-Almondhaven-Token-Usage: 826,240\r\n"
                         + "X-Almondhaven-Prompt-Prefix: 5c1e07a2:198," + Integer.toHexString(0xe4402b00 + id.hashCode())
                         + ":628\r\n", new byte[830]);
--- a/review/standins-3/Case15.java
+++ b/review/standins-3/Case15.java
@@ -27,7 +27,7 @@
             Thread.sleep(20);
             Replica.respond(out, 200, attempt, "", attempt.startsWith("long-") ? new byte[ANSWER_BYTES] : "ok\n".getBytes());
             answered.put(attempt, Stand.seconds());
-            Stand.log("replica " + replica.id + " has run " + attempt + " and sent all of its answer");
+            Stand.log("replica " + replica.id + " has sent all of its answer to " + attempt);
         };
         Store store = new Store("127.0.0.1");
         Replica replica = new Replica("i-list", "127.0.0.1", behaviour);
--- a/review/standins-3/Client.java
+++ b/review/standins-3/Client.java
@@ -24,6 +24,7 @@
         String head = method + " " + path + " HTTP/1.1\r\nHost: desk.example\r\nX-Almondhaven-Attempt-Id: " + attempt
             + "\r\nX-Almondhaven-Deadline-Ms: " + deadlineMillis + "\r\nApi-Key: " + key + "\r\n" + extra
             + (body.length > 0 || method.equals("POST") ? "Content-Length: " + body.length + "\r\n" : "") + "\r\n";
+        Stand.log("client sends " + attempt + ": " + method + " " + path + ", " + body.length + " bytes");
         byte[] bytes = head.getBytes(StandardCharsets.ISO_8859_1);
         byte[] all = new byte[bytes.length + body.length];
         System.arraycopy(bytes, 0, all, 0, bytes.length);
@@ -36,6 +37,7 @@
     Http.Message read() throws Exception {
         Http.Message answer = Http.readHead(in);
         if (answer != null) Http.readBody(in, answer);
+        if (answer != null) Stand.log("client gets " + answer.status() + " for " + answer.header("X-Almondhaven-Attempt-Id"));
         return answer;
     }
 
--- a/review/standins-3/Replica.java
+++ b/review/standins-3/Replica.java
@@ -54,6 +54,7 @@
                 respond(out, 421, attempt, "X-Almondhaven-Replica-Id: " + id + "\r\n", new byte[0]);
                 continue;
             }
+            Stand.log("replica " + id + " runs " + attempt);
             behaviour.serve(this, request, socket, out);
         }
     }
@@ -66,6 +67,7 @@
         String head = "HTTP/1.1 " + status + " X\r\nX-Almondhaven-Attempt-Id: " + attempt + "\r\n"
             + (status / 100 == 2 ? "X-Almondhaven-Response-Seal: " + seal(attempt) + "\r\n" : "") + extra
             + "Content-Length: " + body.length + "\r\n\r\n";
+        Stand.log("replica answers " + attempt + " with " + status + ", " + body.length + " bytes");
         byte[] bytes = head.getBytes(StandardCharsets.ISO_8859_1);
         byte[] all = new byte[bytes.length + body.length];
         System.arraycopy(bytes, 0, all, 0, bytes.length);
--- a/review/standins-3/Stand.java
+++ b/review/standins-3/Stand.java
@@ -1,17 +1,22 @@
 import java.io.BufferedWriter;
 import java.io.IOException;
+import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
+import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
 
 /** What all cases share: the record, threads, ports and the end of the processes that were started. */
 final class Stand {
     private static final long START = System.nanoTime();
     private static final List<Process> PROCESSES = new ArrayList<>();
+    private static final Set<Integer> PORTS = new HashSet<>();
     private static BufferedWriter record;
 
     private Stand() {
@@ -59,20 +64,31 @@
         return server.getInetAddress().getHostAddress() + ":" + server.getLocalPort();
     }
 
-    static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return socket.getLocalPort();
+    /** A port below the kernel's range for clients, so that no client's connection takes it before it is used. */
+    static synchronized int freePort() throws IOException {
+        InetAddress loopback = InetAddress.getByName("127.0.0.1");
+        for (int attempt = 0; attempt < 200; attempt++) {
+            int port = ThreadLocalRandom.current().nextInt(12_000, 30_000);
+            try (ServerSocket tcp = new ServerSocket(port, 1, loopback); DatagramSocket udp = new DatagramSocket(port, loopback)) {
+                if (PORTS.add(port)) return port;
+            } catch (IOException taken) {
+                // Another one is tried.
+            }
         }
+        throw new IOException("no free port");
     }
 
     static synchronized void onExit(Process process) {
         if (PROCESSES.isEmpty()) {
-            Runtime.getRuntime().addShutdownHook(new Thread(() -> PROCESSES.forEach(Process::destroyForcibly)));
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> PROCESSES.forEach(p -> p.destroyForcibly().onExit().join())));
         }
         PROCESSES.add(process);
     }
 
-    /** Ends the run with the result: 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. */
+    /**
+     * Ends the run with the result: 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. A broken rule ends the JVM
+     * with 10, since a JVM that fails ends with 1.
+     */
     static void finish(int status, String verdict) {
         log(verdict);
         System.out.println(verdict);
@@ -86,6 +102,6 @@
                 Thread.currentThread().interrupt();
             }
         }
-        Runtime.getRuntime().halt(status);
+        Runtime.getRuntime().halt(status == 1 ? 10 : status);
     }
 }
--- a/review/standins-3/run-case.sh
+++ b/review/standins-3/run-case.sh
@@ -11,7 +11,13 @@
 fi
 work=$(mktemp -d)
 trap 'rm -rf "$work"' EXIT
-timeout -k 2 118 java -Xmx600m -cp "$root/target/review-3" "$class" "$root" "$work" "$folder/record.txt"
-status=$?
-[ "$status" -le 1 ] && exit "$status"
-exit 2
+timeout -k 2 116 java -Xmx600m -cp "$root/target/review-3" "$class" "$root" "$work" "$folder/record.txt" &
+child=$!
+# The JVM ends the routers that it started before it ends.
+trap 'kill -TERM "$child" 2> /dev/null; wait "$child"; exit 2' TERM INT HUP
+wait "$child"
+case $? in
+  10) exit 1 ;;
+  0) exit 0 ;;
+  *) exit 2 ;;
+esac
