A long configuration that changes often no longer fills the heap

Cause, of two layers: - KindHistory kept the last 512 changes of each kind, parsed and as text, for routers that follow this one: 3.7 MB a version here. A class histogram of the router shows 28 parsed configurations after 25 versions. - The configuration's watch started each call at the end of the callback of the one before; an OutOfMemoryError there ended the series silently.

Change: KindHistory holds the newest state of each object and a bounded list of removals, which is all that a router that asks can lack. Duty runs the steps of a series: one that fails is logged and counted, and a full read follows; DutySupervisor begins a series anew whose next step is missing; readiness shows a duty that fails for 3 s. STATE_COUNTED (6113) logs what is held, the heap and the failures.

Tests, failing on: KindHistoryTest "in its newest state alone" (found 100 versions) and "too long to be remembered" guard the heap; ConfigurationWatcherTest "is followed by a read" guards the series. "gets the whole list when the history does not reach back" counted states in between, which are no longer kept; it now counts removals, as strictly.

--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/Gateway.kt
@@ -8,6 +8,9 @@
 import dev.almondhaven.gateway.call.CallContext
 import dev.almondhaven.gateway.call.CallHandler
 import dev.almondhaven.gateway.call.Watchdog
+import dev.almondhaven.gateway.duty.DutySupervisor
+import dev.almondhaven.gateway.duty.HeapUse
+import dev.almondhaven.gateway.duty.RecurringTask
 import dev.almondhaven.gateway.net.CallerServer
 import dev.almondhaven.gateway.peer.PeerMessenger
 import dev.almondhaven.gateway.relay.HttpRelayConnector
@@ -77,7 +80,9 @@
             onConfirmed = { relayHandler.answerAll() },
             isRelayed = { relaySelection.isLarge },
         )
-    private val relayHandler: RelayHandler = RelayHandler(Relay(), loop, clock)
+    private val supervisor = DutySupervisor(loop)
+    private val relay = Relay()
+    private val relayHandler: RelayHandler = RelayHandler(relay, loop, clock)
     private val relaySelection: RelaySelection by lazy { RelaySelection(relayCandidate(settings.name, ownEntry)) }
     private val ownEntry = RouterEntry(settings.peerAddress, settings.failureDomain, settings.linkMegabits)
     private val follower =
@@ -140,7 +145,8 @@
         CallerServer(group, { CallerLimits.BEFORE_CONFIGURATION }, lifecycle::isStopping, relayHandler)
     private val readinessServer = CallerServer(group, routing::limits, { false }, ReadinessHandler(::isReady))
 
-    private fun isReady(): Boolean = !lifecycle.isStopping && routing.isLoaded && configurationWatcher.isFresh
+    private fun isReady(): Boolean =
+        !lifecycle.isStopping && routing.isLoaded && configurationWatcher.isFresh && supervisor.areDutiesSound
 
     /** The port on which callers are served. */
     var callerPort = 0
@@ -158,6 +164,8 @@
             peers.onRollOut = rollOuts::applyStatement
             peers.onPrompts = promptQuarantine::applyAnnouncement
             promptQuarantine.onQuarantine = context.watchdog::endQuarantined
+            supervisor.start()
+            supervisor.add(configurationWatcher.duty)
             configurationWatcher.start()
             follow(StoreKind.ENDPOINTS, ::endpointsListed, ::endpointsChanged)
             follow(StoreKind.EVACUATIONS, ::evacuationsListed, ::evacuationsChanged)
@@ -168,7 +176,7 @@
             follow(StoreKind.PROMPT_QUARANTINES, promptQuarantine::replaceStored, promptQuarantine::updateStored)
             rollOuts.start()
             register()
-            loop.scheduleAtFixedRate(::logStoreCalls, CALL_LOG_SECONDS, CALL_LOG_SECONDS, TimeUnit.SECONDS)
+            supervisor.add(RecurringTask("counts in the log", loop, COUNT_LOG_INTERVAL, action = ::logCounts))
         }
         LogEvent.ROUTER_STARTED.log(logger) {
             "router=${settings.name} domain=${settings.failureDomain} address=${settings.callerAddress}"
@@ -288,7 +296,10 @@
             ConfigurationWatcher.RETRY_DELAY
         }
 
-    private fun logStoreCalls(): Unit = LogEvent.STORE_CALLS_COUNTED.log(logger) { "${store.callCounts}" }
+    private fun logCounts() {
+        LogEvent.STORE_CALLS_COUNTED.log(logger) { "${store.callCounts}" }
+        LogEvent.STATE_COUNTED.log(logger) { "${relay.histories.joinToString(" ")} ${HeapUse.now()} $supervisor" }
+    }
 
     private fun evacuationsListed(entries: List<StoredObject>) {
         routing.evacuatedDomains = entries.filterNot { it.removed }.map { it.name }.toSet()
@@ -415,7 +426,7 @@
         /** Routers that restart together find within this time that another one reads for them. */
         private val FIRST_WATCH_DELAY = 300.milliseconds
         private val FOLLOWER_STORE_RETRY_DELAY = 1_000.milliseconds
-        private const val CALL_LOG_SECONDS = 15L
+        private val COUNT_LOG_INTERVAL = 15.seconds
         private val REGISTER_TIMEOUT = 1_000.milliseconds
         private val REGISTER_RETRY_DELAY = 1.seconds
 
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/state/ConfigurationWatcher.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/state/ConfigurationWatcher.kt
@@ -1,10 +1,12 @@
 package dev.almondhaven.gateway.state
 
 import dev.almondhaven.decision.traffic.ConfigurationAge
+import dev.almondhaven.gateway.duty.Duty
 import dev.almondhaven.model.LogEvent
 import dev.almondhaven.model.NanoClock
 import dev.almondhaven.platform.RelayedKind
 import dev.almondhaven.platform.StoreCall
+import dev.almondhaven.platform.StoreChange
 import dev.almondhaven.platform.StoreChanges
 import dev.almondhaven.platform.StoreKind
 import dev.almondhaven.platform.StoredObject
@@ -23,7 +25,8 @@
  * ends without a change after its full duration confirms that the known configuration was current until then; any other
  * response confirms it only for the time at which its call was sent. A call that times out is followed by reads.
  * Requests with API keys are served only while the last confirmation is recent enough. While another router passes the
- * configuration and its confirmations on, the watcher is paused. Must be used on the event loop only.
+ * configuration and its confirmations on, the watcher is paused. A step that fails is followed by a read of all. Must be
+ * used on the event loop only.
  *
  * @property retryDelay pause after a read that failed.
  * @property isRelayed whether other routers rely on this one's confirmations, and should soon notice that they end.
@@ -64,41 +67,66 @@
         KindLister(StoreKind.CONFIGURATION) { call, onResponse -> call(call, READ_TIMEOUT, onResponse) }
     private var isPaused = false
 
-    /** Grows with each pause, so that responses and retries from before it are dropped. */
+    /** Grows with each pause and restart, so that responses and retries from before it are dropped. */
     private var generation = 0
     private var cancelCall: () -> Unit = {}
 
+    /** Called when the store has answered after [resume]; null if nothing waits for that. */
+    private var onReached: (() -> Unit)? = null
+
+    /** The series of calls. */
+    val duty = Duty("watch of ${StoreKind.CONFIGURATION}", loop, clock, ::restart)
+
     /** Whether the last confirmation is recent enough to serve requests with API keys. */
     val isFresh: Boolean get() = configurationAge.isFresh(clock.nanos(), wallMillis())
 
     fun confirmationAge(): Duration = configurationAge.age(clock.nanos(), wallMillis())
 
-    fun start(): Unit = read()
+    fun start(): Unit = duty.step(::read)
 
     /** Stops calling the store, since another router passes the configuration on. */
     fun pause() {
         if (isPaused) return
         isPaused = true
+        onReached = null
+        dropCalls()
+        duty.pause()
+    }
+
+    private fun dropCalls() {
         generation++
         cancelCall()
     }
 
+    private fun restart() {
+        if (isPaused) return
+        dropCalls()
+        read()
+    }
+
     /** Calls the store again; [onReached] is called once, when it has answered. */
     fun resume(onReached: () -> Unit) {
         if (!isPaused) return
         isPaused = false
-        if (!history.isListed) return read(onReached)
+        this.onReached = onReached
+        if (!history.isListed) return read()
         val sent = now()
         call(StoreCall.watch(StoreKind.CONFIGURATION, history.revision, Duration.ZERO), READ_TIMEOUT) { response ->
             val changes = response?.takeIf { it.status == OK }?.let { StoreCall.changes(it.body) }
-            if (changes == null) return@call schedule(READ_DELAY_AFTER_FAILED_WATCH) { read(onReached) }
+            if (changes == null) return@call schedule(READ_DELAY_AFTER_FAILED_WATCH) { read() }
             apply(changes)
             confirm(sent)
-            onReached()
+            reportReached()
             watch(changes.revision, watchDuration)
         }
     }
 
+    private fun reportReached() {
+        val report = onReached
+        onReached = null
+        report?.invoke()
+    }
+
     /**
      * Applies what another router knows of the configuration, which it confirmed [age] before the end of the time
      * [held] for which it held the request that was sent at [sent].
@@ -111,7 +139,7 @@
     ) {
         if (relayed != null && relayed.revision > history.revision) {
             val changes = history.apply(relayed)
-            (relayed.list ?: changes.map { it.entry }).forEach(onConfiguration)
+            relayed.list?.forEach(onConfiguration) ?: report(changes)
         }
         confirm(Moment(sent.steadyNanos, sent.wallMillis).plus(held - age))
         logFreshnessChange()
@@ -126,28 +154,34 @@
         onResponse: (StoreResponse?) -> Unit,
     ) {
         val current = generation
-        cancelCall = store.call(call, timeout) { if (generation == current) onResponse(it) }
+        duty.expectStepWithin(timeout)
+        cancelCall = store.call(call, timeout) { if (generation == current) duty.step { onResponse(it) } }
     }
 
     private fun apply(changes: StoreChanges) {
-        history.add(changes.changed, changes.revision).forEach { onConfiguration(it.entry) }
+        report(history.add(changes.changed, changes.revision))
+        duty.recordSuccess()
     }
 
+    private fun report(changes: List<StoreChange>): Unit =
+        changes.filterNot { it.removed }.forEach { onConfiguration(it.entry) }
+
     private fun now() = Moment(clock.nanos(), wallMillis())
 
-    private fun read(onReached: () -> Unit = {}) {
+    private fun read() {
         val sent = now()
         val onFailure = { _: StoreResponse? ->
             logFreshnessChange()
-            schedule(retryDelay()) { read(onReached) }
+            schedule(retryDelay()) { read() }
         }
         lister.list(onFailure) { listing ->
             history.replace(listing.objects, listing.revision)
             listing.objects.forEach(onConfiguration)
+            duty.recordSuccess()
             confirm(sent)
             logFreshnessChange()
             onRevision(listing.revision)
-            onReached()
+            reportReached()
             watch(listing.revision, watchDuration)
         }
     }
@@ -192,8 +226,14 @@
         action: () -> Unit,
     ) {
         val current = generation
-        val guarded = { if (generation == current) action() }
-        loop.schedule(guarded, delay.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+        duty.expectStepWithin(delay)
+        loop.schedule({
+            if (generation ==
+                current
+            ) {
+                duty.step(action)
+            }
+        }, delay.inWholeMilliseconds, TimeUnit.MILLISECONDS)
     }
 
     private fun logFreshnessChange() {
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/state/KindHistory.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/state/KindHistory.kt
@@ -6,23 +6,30 @@
 import dev.almondhaven.platform.StoredObject
 
 /**
- * The objects of one kind as far as this router knows them, and their latest changes, which it passes on to routers that
- * ask it. Must be used on the event loop only.
+ * The objects of one kind as far as this router knows them, and which ones were removed lately, for routers that ask it.
+ * A router that asks gets each object that it lacks in its newest state, and none of the states in between, so that what
+ * is held does not grow with the number of changes. Must be used on the event loop only.
  */
 internal class KindHistory(
     val kind: StoreKind,
 ) {
-    private class Batch(
+    /** A removed object, and the [revision] of the store by which it was removed. */
+    private class Removal(
+        val entry: StoredObject,
         val revision: Long,
-        val changes: List<StoreChange>,
     )
 
     private val objects = LinkedHashMap<String, StoredObject>()
-    private val batches = ArrayDeque<Batch>()
 
-    /** Revision of the store since which the [batches] hold all changes. */
+    /** Objects that were removed since [firstRevision] and have not been created again, earliest removal first. */
+    private val removals = LinkedHashMap<String, Removal>()
+
+    /** Revision of the store since which all [removals] are known. */
     private var firstRevision = 0L
 
+    /** Revision of the store by which the newest change is known. */
+    private var changedRevision = 0L
+
     /** Revision of the store up to which all changes are known; 0 before the first list. */
     var revision = 0L
         private set
@@ -31,6 +38,8 @@
     var isListed = false
         private set
 
+    private fun removedCharacters(): Int = removals.values.sumOf { it.entry.encoded.length }
+
     /** Whether the object [name] exists. */
     fun holds(name: String): Boolean = name in objects
 
@@ -41,8 +50,9 @@
     ) {
         objects.clear()
         list.forEach { objects[it.name] = it }
-        batches.clear()
+        removals.clear()
         firstRevision = revision
+        changedRevision = revision
         this.revision = revision
         isListed = true
     }
@@ -54,10 +64,9 @@
     ): List<StoreChange> {
         advance(revision)
         if (changes.isEmpty()) return changes
+        changedRevision = this.revision
         val news = changes.filter(::apply)
-        // Other routers may lack what this one's list held already, so all changes are kept for them.
-        batches.addLast(Batch(this.revision, changes))
-        while (batches.sumOf { it.changes.size } > MAX_CHANGES) firstRevision = batches.removeFirst().revision
+        forgetOldRemovals()
         return news
     }
 
@@ -66,12 +75,35 @@
         val entry = change.entry
         val known = objects[entry.name]?.revision ?: -1
         when {
-            change.removed -> if (entry.revision < known) return false else objects.remove(entry.name)
-            else -> if (entry.revision <= known) return false else objects[entry.name] = entry
+            change.removed -> if (entry.revision < known) return false else remove(entry)
+            else -> if (entry.revision <= known) return false else put(entry)
         }
         return true
     }
 
+    private fun put(entry: StoredObject) {
+        removals.remove(entry.name)
+        objects[entry.name] = entry
+    }
+
+    private fun remove(entry: StoredObject) {
+        objects.remove(entry.name)
+        removals.remove(entry.name)
+        removals[entry.name] = Removal(entry.withoutContent(), revision)
+    }
+
+    /** A router that does not know of a removal that is forgotten gets the whole list. */
+    private fun forgetOldRemovals() {
+        var characters = removedCharacters()
+        val eldestFirst = removals.values.iterator()
+        while (removals.size > MAX_REMOVALS || characters > MAX_REMOVAL_CHARACTERS) {
+            val eldest = eldestFirst.next()
+            firstRevision = eldest.revision
+            characters -= eldest.entry.encoded.length
+            eldestFirst.remove()
+        }
+    }
+
     /** Applies what another router knows more, and returns the changes among it. */
     fun apply(relayed: RelayedKind): List<StoreChange> {
         val list = relayed.list ?: return add(relayed.changes, relayed.revision)
@@ -85,19 +117,31 @@
     }
 
     /** Whether a router that knows all up to [known] lacks an object or a change. */
-    fun hasNewsSince(known: Long): Boolean =
-        isListed && (known < firstRevision || batches.lastOrNull()?.let { it.revision > known } == true)
+    fun hasNewsSince(known: Long): Boolean = isListed && (known < firstRevision || known < changedRevision)
 
     /** What a router that knows all up to [known] lacks; null if it knows as much as this one. */
     fun since(known: Long): RelayedKind? =
         when {
             !isListed || known >= revision -> null
             known < firstRevision -> RelayedKind(kind, revision, objects.values.toList(), emptyList())
-            else -> RelayedKind(kind, revision, null, batches.filter { it.revision > known }.flatMap { it.changes })
+            else -> RelayedKind(kind, revision, null, changesSince(known))
         }
 
+    private fun changesSince(known: Long): List<StoreChange> {
+        val removed = removals.values.filter { it.revision > known }.map { StoreChange(it.entry, removed = true) }
+        val changed = objects.values.filter { it.revision > known }.sortedBy { it.revision }
+        return removed + changed.map { StoreChange(it, removed = false) }
+    }
+
+    /** What is held: objects, removals, and the characters of both. */
+    override fun toString(): String =
+        "$kind=${objects.size}/${removals.size}/${objects.values.sumOf { it.encoded.length } + removedCharacters()}"
+
     private companion object {
-        /** More than change while a router is away for some seconds; a router that lacks more gets the whole list. */
-        const val MAX_CHANGES = 512
+        /** More than are removed while a router is away for some seconds; a router that lacks more gets the whole list. */
+        const val MAX_REMOVALS = 512
+
+        /** Bounds what long names take, as other writers may choose them. */
+        const val MAX_REMOVAL_CHARACTERS = 262_144
     }
 }
--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/state/ConfigurationWatcherTest.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/state/ConfigurationWatcherTest.kt
@@ -1,6 +1,7 @@
 package dev.almondhaven.gateway.state
 
 import dev.almondhaven.model.NanoClock
+import dev.almondhaven.platform.StoredObject
 import dev.almondhaven.traffic.TrafficBounds
 import io.netty.channel.embedded.EmbeddedChannel
 import org.junit.jupiter.api.Nested
@@ -26,11 +27,18 @@
             store,
             channel.eventLoop(),
             NanoClock { millis * 1_000_000 },
-            { seen += it.revision },
+            ::configure,
             { revisions += it },
             { millis },
         )
 
+    private var failingRevision = 0L
+
+    private fun configure(entry: StoredObject) {
+        if (entry.revision == failingRevision) throw OutOfMemoryError("simulated")
+        seen += entry.revision
+    }
+
     private fun entry(revision: Long) =
         """{"metadata":{"name":"main","revision":$revision,"created":2},"spec":{},"status":null}"""
 
@@ -75,6 +83,49 @@
         }
     }
 
+    /** Guards against CONFIG: an OutOfMemoryError while a version was applied ended the watch for good. */
+    @Nested
+    inner class `a step that fails with an error` {
+        private fun failAt(revision: Long) {
+            failingRevision = revision
+            runCatching { respond(change(revision)) }
+            failingRevision = 0
+        }
+
+        @Test
+        fun `is followed by a read, which applies the version that was not applied`() {
+            startAndList()
+            failAt(9)
+            advance(200)
+            expectThat(store.calls.last().path).isEqualTo("/objects/config")
+            respond(list(9))
+
+            expectThat(seen.toList()).isEqualTo(listOf(7L, 9L))
+            expectThat(store.calls.last().path).isEqualTo("/objects/config?watch=9&waitMs=2000")
+        }
+
+        @Test
+        fun `is followed by no read while another router passes the configuration on`() {
+            startAndList()
+            failAt(9)
+            watcher.pause()
+            val calls = store.calls.size
+            advance(5_000)
+
+            expectThat(store.calls.size).isEqualTo(calls)
+        }
+
+        @Test
+        fun `does not confirm the configuration`() {
+            startAndList()
+            advance(4_000)
+            failAt(9)
+            advance(3_000)
+
+            expectThat(watcher.isFresh).isEqualTo(false)
+        }
+    }
+
     @Nested
     inner class `a watch` {
         @Test
--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/state/KindHistoryTest.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/state/KindHistoryTest.kt
@@ -92,10 +92,49 @@
         fun `gets the whole list when the history does not reach back`() {
             val history = KindHistory(StoreKind.ENDPOINTS)
             page(7, "a").let { history.replace(it.objects, it.revision) }
-            (8L..700L).forEach { revision -> changes(revision, "b").let { history.add(it.changed, it.revision) } }
+            (8L..700L).forEach { revision ->
+                changes(revision, "b$revision", removed = true).let { history.add(it.changed, it.revision) }
+            }
+
+            expectThat(history.since(187)!!.list!!).hasSize(1)
+            expectThat(history.since(188)!!.changes).hasSize(512)
+            expectThat(history.since(690)!!.changes.map { it.entry.name }).isEqualTo((691..700).map { "b$it" })
+        }
+
+        @Test
+        fun `gets an object that was removed and created again, and not its removal`() {
+            val history = KindHistory(StoreKind.ENDPOINTS)
+            page(7, "a").let { history.replace(it.objects, it.revision) }
+            changes(8, "a", removed = true).let { history.add(it.changed, it.revision) }
+            changes(9, "a").let { history.add(it.changed, it.revision) }
+
+            expectThat(
+                history.since(7)!!.changes.map { it.entry.revision to it.removed },
+            ).isEqualTo(listOf(9L to false))
+        }
+
+        /** Guards against CONFIG: each version of a long configuration was kept, until the heap was full. */
+        @Test
+        fun `gets an object that has changed often in its newest state alone`() {
+            val history = KindHistory(StoreKind.CONFIGURATION)
+            page(7, "main").let { history.replace(it.objects, it.revision) }
+            (8L..107L).forEach { revision -> changes(revision, "main").let { history.add(it.changed, it.revision) } }
+
+            expectThat(history.since(7)!!.changes.map { it.entry.revision }).isEqualTo(listOf(107L))
+        }
+
+        /** Guards against a full heap: the names of removed objects may be as long as their writers choose. */
+        @Test
+        fun `gets the whole list when the names of removed objects are too long to be remembered`() {
+            val history = KindHistory(StoreKind.ENDPOINTS)
+            page(7, "a").let { history.replace(it.objects, it.revision) }
+            (8L..27L).forEach { revision ->
+                val name = "$revision".repeat(50_000)
+                changes(revision, name, removed = true).let { history.add(it.changed, it.revision) }
+            }
 
-            expectThat(history.since(7)!!.list!!).hasSize(2)
-            expectThat(history.since(690)!!.changes).hasSize(10)
+            expectThat(history.since(24)!!.list!!).hasSize(1)
+            expectThat(history.since(25)!!.changes).hasSize(2)
         }
     }
 
--- a/model/src/main/kotlin/dev/almondhaven/model/LogEvent.kt
+++ b/model/src/main/kotlin/dev/almondhaven/model/LogEvent.kt
@@ -22,7 +22,12 @@
     ROUTER_STARTED(1001, Level.INFO, "The router accepts connections."),
     ROUTER_STOPPING(1002, Level.INFO, "The router drains its requests and stops."),
     ROUTER_STOPPED(1003, Level.INFO, "The router has stopped."),
-    DUTY_FAILED(1004, Level.ERROR, "A task of an actor thread threw an unexpected exception; the thread continues."),
+    DUTY_FAILED(
+        1004,
+        Level.ERROR,
+        "A step of a task that goes on all the time threw an unexpected exception; the task continues or begins anew.",
+    ),
+    DUTY_OVERDUE(1006, Level.ERROR, "A task that goes on all the time has not gone on in time; it begins anew."),
     REQUEST_FAILED_UNEXPECTEDLY(1005, Level.ERROR, "A filter threw an exception; the caller got an error."),
 
     CONFIGURATION_IN_FORCE(2001, Level.INFO, "A newer configuration took effect on this router."),
@@ -148,6 +153,11 @@
         Level.INFO,
         "The calls to the store since the start, by sort of call and kind of objects.",
     ),
+    STATE_COUNTED(
+        6113,
+        Level.INFO,
+        "What the router holds of each kind of objects (objects/removals/characters), and its heap; logged at intervals.",
+    ),
     TRAFFIC_CONFIGURED(6201, Level.INFO, "A configuration of routes, services and API keys took effect."),
     ENDPOINT_LISTED(6202, Level.INFO, "An endpoint's entry was added or changed."),
     ENDPOINT_UNLISTED(6203, Level.INFO, "An endpoint's entry was removed."),
