Long entries of another writer no longer stop the watches

KindWatcher is a Duty: a failed step is followed by a list. If changes can't be applied, KindHistory forgets what it holds. A response of the store is 4 MiB at most; a longer one to a watch is answered by a list, page by page.

Many small entries remain unbounded.

KindHistoryTest's case of long names removes 400 names of 1,000 characters instead of 20 of 50,000, which are refused when they are read.

--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/Gateway.kt
@@ -218,6 +218,7 @@
                 FIRST_WATCH_DELAY,
             )
         kindWatchers += watcher
+        supervisor.add(watcher.duty)
         watcher.start()
     }
 
@@ -369,7 +370,7 @@
         store.call(StoreCall.register(settings.name, ownEntry), REGISTER_TIMEOUT) { response ->
             when (response?.status) {
                 null -> loop.schedule(::register, REGISTER_RETRY_DELAY.inWholeMilliseconds, TimeUnit.MILLISECONDS)
-                StoreCall.CONFLICT -> StoreCall.entry(response.body)?.let(::updateEntry)
+                StoreCall.CONFLICT -> StoreCall.entry(StoreKind.ROUTERS, response.body)?.let(::updateEntry)
                 else -> Unit
             }
         }
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/net/HttpClient.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/net/HttpClient.kt
@@ -52,11 +52,19 @@
                 bytes.readBytes(body, bytes.readableBytes())
             } else {
                 outbound?.cancel()
-                onFailure(sent = true, reason = "a body above $MAX_BODY_BYTES bytes")
+                val reason = "a body above $MAX_BODY_BYTES bytes"
+                settle(HttpResult.Failure(sent = true, reason, isTooLong = true))
             }
         }
 
-        override fun onEnd(): Unit = settle(HttpResult.Response(status, body.toString(Charsets.UTF_8)))
+        override fun onEnd(): Unit = settle(decodeBody())
+
+        private fun decodeBody(): HttpResult =
+            try {
+                HttpResult.Response(status, body.toString(Charsets.UTF_8))
+            } catch (shortage: OutOfMemoryError) {
+                HttpResult.Failure(sent = true, "no memory for ${body.size()} bytes", isTooLong = true)
+            }
 
         override fun onFailure(
             sent: Boolean,
@@ -85,7 +93,10 @@
     }
 
     private companion object {
-        /** 16 MiB; a page of the store holds about 1 MB, and a watch returns the changes of some seconds. */
-        const val MAX_BODY_BYTES = 16_777_216
+        /**
+         * 4 MiB; a page of the store holds about 1 MB. While it is read and decoded, a body takes several times its length
+         * of a heap of about 100 MiB.
+         */
+        const val MAX_BODY_BYTES = 4_194_304
     }
 }
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/state/ConfigurationWatcher.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/state/ConfigurationWatcher.kt
@@ -112,7 +112,7 @@
         if (!history.isListed) return read()
         val sent = now()
         call(StoreCall.watch(StoreKind.CONFIGURATION, history.revision, Duration.ZERO), READ_TIMEOUT) { response ->
-            val changes = response?.takeIf { it.status == OK }?.let { StoreCall.changes(it.body) }
+            val changes = decodeChanges(response)
             if (changes == null) return@call schedule(READ_DELAY_AFTER_FAILED_WATCH) { read() }
             apply(changes)
             confirm(sent)
@@ -138,8 +138,7 @@
         age: Duration,
     ) {
         if (relayed != null && relayed.revision > history.revision) {
-            val changes = history.apply(relayed)
-            relayed.list?.forEach(onConfiguration) ?: report(changes)
+            history.apply(relayed) { changes -> relayed.list?.forEach(onConfiguration) ?: report(changes) }
         }
         confirm(Moment(sent.steadyNanos, sent.wallMillis).plus(held - age))
         logFreshnessChange()
@@ -163,6 +162,9 @@
         duty.recordSuccess()
     }
 
+    private fun decodeChanges(response: StoreResponse?): StoreChanges? =
+        response?.takeIf { it.status == OK }?.let { StoreCall.changes(StoreKind.CONFIGURATION, it.body) }
+
     private fun report(changes: List<StoreChange>): Unit =
         changes.filterNot { it.removed }.forEach { onConfiguration(it.entry) }
 
@@ -192,7 +194,7 @@
     ) {
         val sent = now()
         call(StoreCall.watch(StoreKind.CONFIGURATION, revision, wait), wait + RESPONSE_TIMEOUT) { response ->
-            val changes = response?.takeIf { it.status == OK }?.let { StoreCall.changes(it.body) }
+            val changes = decodeChanges(response)
             if (changes == null) {
                 logFreshnessChange()
                 return@call schedule(READ_DELAY_AFTER_FAILED_WATCH) { read() }
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/state/HttpStoreClient.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/state/HttpStoreClient.kt
@@ -47,6 +47,7 @@
         return client.send(OutboundRequest(call.method, call.path, headers, body), timeout) { result ->
             when (result) {
                 is HttpResult.Response -> handleResponse(call, result, onResponse)
+                is HttpResult.Failure if result.isTooLong -> handleTooLong(call, result, onResponse)
                 is HttpResult.Failure -> handleFailure(call, result, onResponse)
             }
         }
@@ -68,6 +69,16 @@
         if (recovered) recoveryActions.forEach { it() }
     }
 
+    /** More has changed than one response may hold, so the objects have to be listed, page by page. */
+    private fun handleTooLong(
+        call: StoreCall,
+        failure: HttpResult.Failure,
+        onResponse: (StoreResponse?) -> Unit,
+    ) {
+        LogEvent.STORE_CALL_FAILED.log(logger) { "call=${call.method} path=${call.path} reason=${failure.reason}" }
+        onResponse(StoreResponse(StoreCall.REVISION_EXPIRED, ""))
+    }
+
     private fun handleFailure(
         call: StoreCall,
         failure: HttpResult.Failure,
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/state/KindHistory.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/state/KindHistory.kt
@@ -104,13 +104,34 @@
         }
     }
 
-    /** Applies what another router knows more, and returns the changes among it. */
-    fun apply(relayed: RelayedKind): List<StoreChange> {
+    /**
+     * Applies what another router knows more, and passes on the changes among it. If [onChanges] fails, nothing is known
+     * any more, so that all is asked for again.
+     */
+    fun apply(
+        relayed: RelayedKind,
+        onChanges: (List<StoreChange>) -> Unit,
+    ) {
+        var isApplied = false
+        try {
+            onChanges(merge(relayed))
+            isApplied = true
+        } finally {
+            if (!isApplied) forget()
+        }
+    }
+
+    private fun merge(relayed: RelayedKind): List<StoreChange> {
         val list = relayed.list ?: return add(relayed.changes, relayed.revision)
         replace(list, relayed.revision)
         return relayed.changes
     }
 
+    private fun forget() {
+        replace(emptyList(), 0)
+        isListed = false
+    }
+
     /** Records that nothing has changed up to [revision]. */
     fun advance(revision: Long) {
         this.revision = maxOf(this.revision, revision)
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/state/KindLister.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/state/KindLister.kt
@@ -37,7 +37,7 @@
         onListing: (KindListing) -> Unit,
     ): Unit =
         call(StoreCall.list(kind, after)) { response ->
-            val page = response?.takeIf { it.status == OK }?.let { StoreCall.page(it.body) }
+            val page = response?.takeIf { it.status == OK }?.let { StoreCall.page(kind, it.body) }
             if (page == null) return@call onFailure(response)
             val listing =
                 KindListing(
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/state/KindWatcher.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/state/KindWatcher.kt
@@ -1,7 +1,9 @@
 package dev.almondhaven.gateway.state
 
 import dev.almondhaven.decision.retry.FullJitterBackoff
+import dev.almondhaven.gateway.duty.Duty
 import dev.almondhaven.model.LogEvent
+import dev.almondhaven.model.NanoClock
 import dev.almondhaven.platform.RelayedKind
 import dev.almondhaven.platform.StoreCall
 import dev.almondhaven.platform.StoreChange
@@ -19,8 +21,8 @@
 /**
  * Follows one kind of objects: lists them, then watches from the list's revision. Lists again when the store no longer
  * has the history since then. A watch that the store never received, or whose response was lost, looks like one that
- * waits; [catchUp] tells them apart. While another router passes the changes on, it is paused. Must be used on the event
- * loop only.
+ * waits; [catchUp] tells them apart. While another router passes the changes on, it is paused. A step that fails is
+ * followed by a list. Must be used on the event loop only.
  *
  * @property batchDelay pause after a change, so that the next watch returns the changes that follow it together.
  * @property catchUpInterval minimum time between two calls that check whether the watch in flight is lost.
@@ -39,6 +41,7 @@
     private val onList: (List<StoredObject>) -> Unit,
     private val onChanges: (List<StoreChange>) -> Unit,
     private val firstWatchDelay: Duration = Duration.ZERO,
+    clock: NanoClock = NanoClock.SYSTEM,
 ) {
     private val kind = history.kind
     private val lister = KindLister(kind, ::callUnlessPaused)
@@ -56,27 +59,42 @@
     /** Whether another router passes the changes on. */
     private var isPaused = false
 
-    /** Grows with each pause, so that responses and retries from before it are dropped. */
+    /** Grows with each pause and restart, so that responses and retries from before it are dropped. */
     private var generation = 0
 
     /** What is to be called again when the store can be reached; null if nothing waits for that. */
     private var afterRecovery: (() -> Unit)? = null
 
+    /** The series of calls. */
+    val duty = Duty("watch of $kind", loop, clock, ::restart)
+
     fun start() {
-        store.onRecovery(::onRecovery)
-        list()
+        store.onRecovery { duty.step(::onRecovery) }
+        duty.step(::list)
     }
 
     /** Stops calling the store, since another router passes the changes on. */
     fun pause() {
         if (isPaused) return
         isPaused = true
+        dropCalls()
+        duty.pause()
+    }
+
+    private fun dropCalls() {
         generation++
         cancelWatch?.invoke()
         cancelWatch = null
         afterRecovery = null
     }
 
+    private fun restart() {
+        if (isPaused) return
+        dropCalls()
+        isCatchUpDeferred = false
+        list()
+    }
+
     /** Calls the store again, from the revision up to which the changes are known. */
     fun resume() {
         if (!isPaused) return
@@ -91,14 +109,16 @@
     fun applyRelayed(relayed: RelayedKind) {
         if (relayed.revision <= history.revision && history.isListed) return
         if (relayed.list == null && !history.isListed) return
-        val changes = history.apply(relayed)
-        apply { relayed.list?.let(onList) }
-        apply { if (changes.isNotEmpty()) onChanges(changes) }
+        history.apply(relayed) { changes ->
+            apply { relayed.list?.let(onList) }
+            apply { if (changes.isNotEmpty()) onChanges(changes) }
+        }
     }
 
     private fun replace(listing: KindListing) {
         history.replace(listing.objects, listing.revision)
         apply { onList(listing.objects) }
+        duty.recordSuccess()
     }
 
     private fun add(
@@ -107,9 +127,10 @@
     ) {
         val news = history.add(changes, revision)
         if (news.isNotEmpty()) apply { onChanges(news) }
+        duty.recordSuccess()
     }
 
-    /** Runs [action] unless the watcher has been paused since this function was called. */
+    /** Runs [action] unless the watcher has been paused or restarted since this function was called. */
     private fun unlessPaused(action: () -> Unit): () -> Unit {
         val current = generation
         return { if (generation == current) action() }
@@ -135,14 +156,16 @@
      * Tells that the store has reached [revision]. If this kind is behind it although a watch is in flight, a call that
      * doesn't wait returns the changes that the watch should have returned.
      */
-    fun catchUp(revision: Long) {
+    fun catchUp(revision: Long): Unit = duty.step { startCatchUp(revision) }
+
+    private fun startCatchUp(revision: Long) {
         storeRevision = maxOf(storeRevision, revision)
         if (storeRevision <= history.revision || isCatchUpDeferred || cancelWatch == null) return
         isCatchUpDeferred = true
         val since = watchedRevision
         store.call(StoreCall.watch(kind, since, Duration.ZERO), CALL_TIMEOUT) { response ->
-            onCatchUpResponse(since, response)
             loop.schedule(::endCatchUpInterval, catchUpInterval.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+            duty.step { onCatchUpResponse(since, response) }
         }
     }
 
@@ -152,7 +175,7 @@
     ) {
         val cancel = cancelWatch
         if (cancel == null || since != watchedRevision) return
-        val changes = response?.takeIf { it.status == OK }?.let { StoreCall.changes(it.body) }
+        val changes = response?.takeIf { it.status == OK }?.let { StoreCall.changes(kind, it.body) }
         val isBehind = response?.status == StoreCall.REVISION_EXPIRED || changes?.changed?.isNotEmpty() == true
         if (!isBehind) {
             // A call that failed proves nothing; it is repeated after the interval.
@@ -181,24 +204,26 @@
             }
         }
 
-    /** Calls the store; the response is dropped if the watcher has been paused meanwhile. */
+    /** Calls the store; the response is dropped if the watcher has been paused or restarted meanwhile. */
     private fun callUnlessPaused(
         call: StoreCall,
         onResponse: (StoreResponse?) -> Unit,
     ) {
         val current = generation
-        store.call(call, CALL_TIMEOUT) { if (generation == current) onResponse(it) }
+        duty.expectStepWithin(CALL_TIMEOUT)
+        store.call(call, CALL_TIMEOUT) { if (generation == current) duty.step { onResponse(it) } }
     }
 
     private fun watch(revision: Long) {
         watchedRevision = revision
         cancelWatch = null
         var responded = false
+        duty.expectStepWithin(WATCH_DURATION + CALL_TIMEOUT)
         val cancel =
             store.call(StoreCall.watch(kind, revision, WATCH_DURATION), WATCH_DURATION + CALL_TIMEOUT) { response ->
                 responded = true
                 cancelWatch = null
-                onWatchResponse(revision, response)
+                duty.step { onWatchResponse(revision, response) }
             }
         if (!responded) cancelWatch = cancel
     }
@@ -211,7 +236,7 @@
             LogEvent.STORE_HISTORY_GONE.log(logger) { "kind=$kind revision=$revision" }
             return list()
         }
-        val changes = response?.takeIf { it.status == OK }?.let { StoreCall.changes(it.body) }
+        val changes = response?.takeIf { it.status == OK }?.let { StoreCall.changes(kind, it.body) }
         if (changes == null) return retry(response) { watch(revision) }
         failures = 0
         add(changes.changed, changes.revision)
@@ -254,7 +279,8 @@
         delay: Duration,
         action: () -> Unit,
     ) {
-        loop.schedule(unlessPaused(action), delay.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+        duty.expectStepWithin(delay)
+        loop.schedule(unlessPaused { duty.step(action) }, delay.inWholeMilliseconds, TimeUnit.MILLISECONDS)
     }
 
     private companion object {
--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/relay/StateRelayTest.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/relay/StateRelayTest.kt
@@ -108,7 +108,7 @@
         @Test
         fun `hears of an evacuation through its readers`() {
             startFleet()
-            store.create("evacuations", "here")
+            store.put("evacuations", "here")
             await("all routers have heard of the evacuation") { routers.keys.all { "no endpoint takes" in call(it) } }
             expectThat(store.watches() <= READERS * KINDS).isTrue()
         }
@@ -131,7 +131,7 @@
             listOf("reader-1", "reader-2").forEach { routers.remove(it)!!.close() }
             // A router that has not asked a lost one yet takes it for a reader, so that one reader may be left.
             await("other routers read") { store.watches() in listOf(KINDS, READERS * KINDS) }
-            store.create("evacuations", "here")
+            store.put("evacuations", "here")
             await("the others have heard of the evacuation") { routers.keys.all { "no endpoint takes" in call(it) } }
             expectThat(routers.keys.filter(::refusesKeys)).isEqualTo(emptyList())
         }
--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/relay/WaitingStore.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/relay/WaitingStore.kt
@@ -33,11 +33,12 @@
     private val waiting = ArrayList<Waiting>()
     val calls = AtomicInteger()
 
-    /** Creates the object [name] of [kind], as an operator does. */
-    fun create(
+    /** Creates the object [name] of [kind], or replaces its [spec], as an operator or an endpoint does. */
+    fun put(
         kind: String,
         name: String,
-    ): Unit = loop.submit { add(kind, name, "{}") }.get().let {}
+        spec: String = "{}",
+    ): Unit = loop.submit { add(kind, name, spec) }.get().let {}
 
     /** Answers no call any more, also none that waits, until [resume]. */
     fun silence(): Unit =
@@ -106,7 +107,7 @@
             }
 
             since == null -> {
-                respond(writer, list(request.path, kind))
+                respond(writer, list(request.path, kind, after = query["after"]))
             }
 
             changes.any { it.first == kind && it.second > since } -> {
@@ -129,18 +130,18 @@
     private fun list(
         path: String,
         kind: String,
+        after: String?,
     ): String {
-        val entries = created[kind]?.values?.toList().orEmpty()
-        val sample = WireSamples.storeBody(path, listOf("127.0.0.1:9"))
-        val body =
-            if (entries.isEmpty()) {
-                sample
-            } else {
-                """{"items":[${entries.joinToString(
-                    ",",
-                )}],"truncated":false,"currentRev":5}"""
-            }
-        return body.replace(""""currentRev":5}""", """"currentRev":$revision}""")
+        val entries = created[kind].orEmpty()
+        if (entries.isEmpty()) {
+            val sample = WireSamples.storeBody(path, listOf("127.0.0.1:9"))
+            return sample.replace(""""currentRev":5}""", """"currentRev":$revision}""")
+        }
+        val left = entries.filterKeys { after == null || it > after }.toSortedMap()
+        var bytes = 0
+        val page = left.values.takeWhile { entry -> (bytes < PAGE_BYTES).also { bytes += entry.length } }
+        val isTruncated = page.size < left.size
+        return """{"items":[${page.joinToString(",")}],"truncated":$isTruncated,"currentRev":$revision}"""
     }
 
     private fun hold(
@@ -163,6 +164,7 @@
     }
 
     private companion object {
+        const val PAGE_BYTES = 1_000_000
         val NAME = Regex(""""name":"([^"]+)"""")
     }
 }
--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/state/HttpStoreClientTest.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/state/HttpStoreClientTest.kt
@@ -72,7 +72,7 @@
     }
 
     private fun namesIn(response: StoreResponse?): List<String>? =
-        response?.let { StoreCall.page(it.body) }?.objects?.map { it.name }
+        response?.let { StoreCall.page(StoreKind.ENDPOINTS, it.body) }?.objects?.map { it.name }
 
     @Nested
     inner class `a second copy of the answer before` {
--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/state/KindHistoryTest.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/state/KindHistoryTest.kt
@@ -30,6 +30,7 @@
         revision: Long,
         vararg names: String,
     ) = StoreCall.page(
+        StoreKind.ENDPOINTS,
         """{"items":[${names.joinToString(",") { stored(it, revision) }}],"truncated":false,"currentRev":$revision}""",
     )!!
 
@@ -38,6 +39,7 @@
         name: String,
         removed: Boolean = false,
     ) = StoreCall.changes(
+        StoreKind.ENDPOINTS,
         """{"events":[{"object":${stored(name, revision)},"removed":$removed}],"currentRev":$revision}""",
     )!!
 
@@ -128,13 +130,13 @@
         fun `gets the whole list when the names of removed objects are too long to be remembered`() {
             val history = KindHistory(StoreKind.ENDPOINTS)
             page(7, "a").let { history.replace(it.objects, it.revision) }
-            (8L..27L).forEach { revision ->
-                val name = "$revision".repeat(50_000)
+            (8L..407L).forEach { revision ->
+                val name = "$revision".padEnd(1_000, 'x')
                 changes(revision, name, removed = true).let { history.add(it.changed, it.revision) }
             }
 
-            expectThat(history.since(24)!!.list!!).hasSize(1)
-            expectThat(history.since(25)!!.changes).hasSize(2)
+            expectThat(history.since(100)!!.list!!).hasSize(1)
+            expectThat(history.since(200)!!.changes).hasSize(207)
         }
     }
 
--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/state/KindWatcherTest.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/state/KindWatcherTest.kt
@@ -35,6 +35,7 @@
     }
 
     private fun onChanges(changes: List<StoreChange>) {
+        if (changes.any { it.entry.name == "failing" }) throw OutOfMemoryError("simulated")
         check(changes.none { it.entry.name == "refused" }) { "refused" }
         seen += changes.map { "change ${it.entry.name} removed=${it.removed}" }
     }
@@ -135,6 +136,51 @@
         }
     }
 
+    /** Guards against DRAIN: an OutOfMemoryError while changes were applied ended the series of watches for good. */
+    @Nested
+    inner class `a step that fails with an error` {
+        private val failing = """{"events":[{"removed":false,"object":${stored("failing", 9)}}],"currentRev":9}"""
+
+        private fun startAndFail() {
+            watcher.start()
+            respond(0, list)
+            runCatching { respond(1, failing) }
+        }
+
+        @Test
+        fun `is followed by a list, and that by a watch`() {
+            startAndFail()
+            advance(200)
+            respond(2, list.replace("\"currentRev\":7", "\"currentRev\":9"))
+
+            expectThat(store.calls.drop(2).map { it.path })
+                .isEqualTo(listOf("/objects/evacuations", "/objects/evacuations?watch=9&waitMs=28000"))
+        }
+
+        @Test
+        fun `is followed by no call while another router passes the changes on`() {
+            startAndFail()
+            watcher.pause()
+            advance(5_000)
+
+            expectThat(store.calls.size).isEqualTo(2)
+        }
+
+        @Test
+        fun `leaves a lost watch to be found later`() {
+            watcher.start()
+            respond(0, list)
+            watcher.catchUp(9)
+            runCatching { respond(2, failing) }
+            advance(200)
+            respond(3, list)
+            watcher.catchUp(9)
+
+            expectThat(store.calls.drop(4).map { it.path })
+                .isEqualTo(listOf("/objects/evacuations?watch=7&waitMs=28000", "/objects/evacuations?watch=7&waitMs=0"))
+        }
+    }
+
     /** Guards against DRAIN: a router missed what changed on the first page of a list before it had read the last one. */
     @Nested
     inner class `a list of several pages` {
--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/state/PromptQuarantineControllerTest.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/state/PromptQuarantineControllerTest.kt
@@ -13,6 +13,7 @@
 import dev.almondhaven.model.NanoClock
 import dev.almondhaven.model.ServiceId
 import dev.almondhaven.platform.StoreCall
+import dev.almondhaven.platform.StoreKind
 import dev.almondhaven.traffic.EndpointListing
 import io.netty.channel.embedded.EmbeddedChannel
 import org.apache.commons.rng.simple.RandomSource
@@ -94,11 +95,15 @@
         removed: Boolean,
     ): Unit =
         StoreCall
-            .changes("""{"events":[{"object":$entry,"removed":$removed}],"currentRev":2}""")!!
+            .changes(
+                StoreKind.PROMPT_QUARANTINES,
+                """{"events":[{"object":$entry,"removed":$removed}],"currentRev":2}""",
+            )!!
             .changed
             .let(controller::updateStored)
 
-    private fun list(entry: String): Unit = controller.replaceStored(listOf(StoreCall.entry(entry)!!))
+    private fun list(entry: String): Unit =
+        controller.replaceStored(listOf(StoreCall.entry(StoreKind.PROMPT_QUARANTINES, entry)!!))
 
     private fun crashTwice() {
         announceCrash("e-2", "r-1", "deadly")
--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/state/RollOutFleet.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/state/RollOutFleet.kt
@@ -8,6 +8,7 @@
 import dev.almondhaven.model.NanoClock
 import dev.almondhaven.model.ServiceId
 import dev.almondhaven.platform.StoreCall
+import dev.almondhaven.platform.StoreKind
 import dev.almondhaven.platform.WireSamples
 import dev.almondhaven.traffic.RollOutOrder
 import dev.almondhaven.traffic.RollOutState
@@ -100,7 +101,7 @@
 
     private fun store(write: StoreCall?) {
         val entry = WireSamples.rollOutEntry(++storeRevision, write)
-        val order = checkNotNull(StoreCall.entry(entry)?.asRollOut())
+        val order = checkNotNull(StoreCall.entry(StoreKind.ROLL_OUTS, entry)?.asRollOut())
         storedOrder = order
         if (order.state == RollOutState.DONE && doneAt == null) doneAt = now
         all.forEach { it.hearLater() }
--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/state/RoutingStateTest.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/state/RoutingStateTest.kt
@@ -19,7 +19,13 @@
     private val routing = RoutingState(bounds, EmbeddedChannel().eventLoop(), NanoClock { 0L })
 
     private fun configuration(): StoredObject =
-        StoreCall.page(WireSamples.storeBody("/objects/config", emptyList()))!!.objects.single()
+        StoreCall
+            .page(
+                StoreKind.CONFIGURATION,
+                WireSamples.storeBody("/objects/config", emptyList()),
+            )!!
+            .objects
+            .single()
 
     @Nested
     inner class `a router's share of the retry budget` {
--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/state/UnreadableEntriesTest.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/state/UnreadableEntriesTest.kt
@@ -35,7 +35,7 @@
         name: String,
         isReadable: Boolean,
     ): String? {
-        val entry = StoreCall.entry("""{"metadata":{"name":"$name","revision":3}}""")!!
+        val entry = StoreCall.entry(StoreKind.ENDPOINTS, """{"metadata":{"name":"$name","revision":3}}""")!!
         return entries.read(entry) { read: StoredObject -> read.name.takeIf { isReadable } }
     }
 
