What a router repeats goes on after a step that fails

A step that starts the next one at its end, or a timer that does, was lost for good when the step threw an error; in loops the elements behind the one that threw were left out.

Change: the relay's requests and the registration are Duties; the checks of attempts, of followers' answers and of roll-outs are RecurringTasks; loops over connections, attempts, answers and orders isolate their elements. A roll-out's end whose write was lost is written again after 5 s. A drain goes on after a check that failed. That the store or another router can't be reached is no failure of a duty, so it doesn't make the router unready.

--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/Gateway.kt
@@ -8,6 +8,7 @@
 import dev.almondhaven.gateway.call.CallContext
 import dev.almondhaven.gateway.call.CallHandler
 import dev.almondhaven.gateway.call.Watchdog
+import dev.almondhaven.gateway.duty.Duty
 import dev.almondhaven.gateway.duty.DutySupervisor
 import dev.almondhaven.gateway.duty.HeapUse
 import dev.almondhaven.gateway.duty.RecurringTask
@@ -25,6 +26,7 @@
 import dev.almondhaven.gateway.state.PromptQuarantineController
 import dev.almondhaven.gateway.state.RollOutController
 import dev.almondhaven.gateway.state.RoutingState
+import dev.almondhaven.gateway.state.StoreResponse
 import dev.almondhaven.gateway.state.UnreadableEntries
 import dev.almondhaven.model.EndpointId
 import dev.almondhaven.model.LogEvent
@@ -59,9 +61,11 @@
     private val settings: NodeSettings,
     private val listener: ServerSocketChannel?,
     bufferedBytes: BufferedBytes,
+    onLoopEnd: () -> Unit,
 ) {
     private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
     private val loop = group.next()
+    private val loopEnd = EventLoopEnd(loop, onLoopEnd)
     private val clock = NanoClock.SYSTEM
     private val random = RandomSource.XO_RO_SHI_RO_128_PP.create()
     private val lifecycle = Lifecycle(clock, settings.bounds.shutdownGracePeriod)
@@ -175,14 +179,20 @@
             follow(StoreKind.ROUTERS, ::routersListed, ::routersChanged)
             follow(StoreKind.PROMPT_QUARANTINES, promptQuarantine::replaceStored, promptQuarantine::updateStored)
             rollOuts.start()
-            register()
-            supervisor.add(RecurringTask("counts in the log", loop, COUNT_LOG_INTERVAL, action = ::logCounts))
+            registration.step(::register)
+            superviseOthers()
         }
         LogEvent.ROUTER_STARTED.log(logger) {
             "router=${settings.name} domain=${settings.failureDomain} address=${settings.callerAddress}"
         }
     }
 
+    private fun superviseOthers() {
+        listOf(follower.duty, registration).forEach(supervisor::add)
+        val countLog = RecurringTask("counts in the log", loop, COUNT_LOG_INTERVAL, action = ::logCounts)
+        listOf(context.watchdog.checks, relayHandler.checks, rollOuts.checks, countLog).forEach(supervisor::add)
+    }
+
     /** Serves on the port that is open already, unless it is not the one of the settings. */
     private fun listenForCallers(): Channel {
         val open = listener ?: return callerServer.listen(settings.callerAddress)
@@ -331,6 +341,7 @@
     private fun decodeRollOut(entry: StoredObject) = unreadableRollOuts.read(entry, StoredObject::asRollOut)
 
     private val routers = HashMap<String, RouterEntry?>()
+    private val registration = Duty("registration", loop, clock, ::register)
 
     private fun routersListed(entries: List<StoredObject>) {
         routers.clear()
@@ -366,26 +377,39 @@
     ) = RelayCandidate(name, entry.peerAddress, entry.failureDomain, entry.linkMegabits)
 
     /** Registers this router in the list through which the routers find each other and count who shares the bounds. */
-    private fun register() {
-        store.call(StoreCall.register(settings.name, ownEntry), REGISTER_TIMEOUT) { response ->
-            when (response?.status) {
-                null -> loop.schedule(::register, REGISTER_RETRY_DELAY.inWholeMilliseconds, TimeUnit.MILLISECONDS)
-                StoreCall.CONFLICT -> StoreCall.entry(StoreKind.ROUTERS, response.body)?.let(::updateEntry)
-                else -> Unit
-            }
+    private fun register(): Unit =
+        callToRegister(StoreCall.register(settings.name, ownEntry)) { response ->
+            val held =
+                if (response.status ==
+                    StoreCall.CONFLICT
+                ) {
+                    StoreCall.entry(StoreKind.ROUTERS, response.body)
+                } else {
+                    null
+                }
+            if (held == null || held.asRouter() == ownEntry) registration.pause() else updateEntry(held)
         }
-    }
 
     /** Updates an entry that another VM or an earlier version created under this router's name. */
-    private fun updateEntry(held: StoredObject) {
-        if (held.asRouter() == ownEntry) return
-        store.call(StoreCall.updateRouter(held, ownEntry), REGISTER_TIMEOUT) { response ->
-            if (response == null) {
-                loop.schedule(::register, REGISTER_RETRY_DELAY.inWholeMilliseconds, TimeUnit.MILLISECONDS)
-            }
+    private fun updateEntry(held: StoredObject): Unit =
+        callToRegister(StoreCall.updateRouter(held, ownEntry)) { registration.pause() }
+
+    private fun callToRegister(
+        call: StoreCall,
+        onResponse: (StoreResponse) -> Unit,
+    ) {
+        registration.expectStepWithin(REGISTER_TIMEOUT)
+        store.call(call, REGISTER_TIMEOUT) { response ->
+            registration.step { if (response == null) registerLater() else onResponse(response) }
         }
     }
 
+    private fun registerLater() {
+        registration.expectStepWithin(REGISTER_RETRY_DELAY)
+        val register = { registration.step(::register) }
+        loop.schedule(register, REGISTER_RETRY_DELAY.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+    }
+
     /**
      * Finishes the requests in flight and closes the callers' port and connections; returns when none is left, or shortly
      * before the end of the grace period, when the requests that are left get their final response.
@@ -399,6 +423,7 @@
 
     /** Ends all calls and watches after [stop]. A process that exits doesn't need it. */
     fun close() {
+        loopEnd.expect()
         group.shutdownGracefully(0, 0, TimeUnit.SECONDS).syncUninterruptibly()
     }
 
@@ -431,11 +456,15 @@
         private val REGISTER_TIMEOUT = 1_000.milliseconds
         private val REGISTER_RETRY_DELAY = 1.seconds
 
-        /** Starts serving with [settings], on [listener] if that is the callers' port. */
+        /**
+         * Starts serving with [settings], on [listener] if that is the callers' port. [onLoopEnd] is called if the event
+         * loop ends by itself: nothing is answered from then on.
+         */
         fun start(
             settings: NodeSettings,
             listener: ServerSocketChannel? = null,
             bufferedBytes: BufferedBytes = BufferedBytes.ofHeap(),
-        ): Gateway = Gateway(settings, listener, bufferedBytes).also { it.start() }
+            onLoopEnd: () -> Unit = {},
+        ): Gateway = Gateway(settings, listener, bufferedBytes, onLoopEnd).also { it.start() }
     }
 }
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/RouterProcess.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/RouterProcess.kt
@@ -1,6 +1,7 @@
 package dev.almondhaven.gateway
 
 import ch.qos.logback.classic.LoggerContext
+import dev.almondhaven.gateway.duty.HeapUse
 import dev.almondhaven.model.LogEvent
 import dev.almondhaven.platform.NodeFile
 import dev.almondhaven.traffic.NodeSettings
@@ -18,7 +19,7 @@
 
 /**
  * The router as a process: reads the VM's settings, serves until it is asked to stop, and exits with status 78 if the
- * settings are invalid.
+ * settings are invalid, and with status 70 if its event loop has ended.
  *
  * @property listener the callers' port if it is open already.
  */
@@ -31,7 +32,7 @@
         Signal.handle(Signal("TERM")) { stop.countDown() }
         Signal.handle(Signal("INT")) { stop.countDown() }
         Signal.handle(Signal("HUP")) { reload(settings) }
-        val gateway = Gateway.start(settings, listener)
+        val gateway = Gateway.start(settings, listener, onLoopEnd = ::exitWithoutEventLoop)
         stop.await()
         gateway.stop()
         (LoggerFactory.getILoggerFactory() as LoggerContext).stop()
@@ -39,6 +40,16 @@
         Runtime.getRuntime().halt(0)
     }
 
+    /** The platform starts a process that has ended anew; one without an event loop would answer nothing for good. */
+    private fun exitWithoutEventLoop() {
+        try {
+            LogEvent.EVENT_LOOP_ENDED.log(logger) { HeapUse.now() }
+            (LoggerFactory.getILoggerFactory() as LoggerContext).stop()
+        } finally {
+            Runtime.getRuntime().halt(EXIT_EVENT_LOOP_ENDED)
+        }
+    }
+
     private fun readSettings(): NodeSettings? {
         val path = Path.of(System.getenv(NodeFile.PATH_VARIABLE) ?: NodeFile.DEFAULT_PATH)
         val text =
@@ -67,5 +78,8 @@
 
     private companion object {
         const val EXIT_CONFIGURATION = 78
+
+        /** The exit status of an internal software error in `sysexits.h`. */
+        const val EXIT_EVENT_LOOP_ENDED = 70
     }
 }
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/call/CallHandler.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/call/CallHandler.kt
@@ -27,7 +27,7 @@
                 writer,
             )
         } else {
-            DeferredRequest(context.loop, admission::isReady) { admit(request, writer) }
+            DeferredRequest(context.loop, admission::isReady, writer::abort) { admit(request, writer) }
         }
 
     private fun admit(
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Watchdog.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Watchdog.kt
@@ -1,20 +1,22 @@
 package dev.almondhaven.gateway.call
 
+import dev.almondhaven.gateway.duty.RecurringTask
+import dev.almondhaven.gateway.duty.forEachIsolated
 import io.netty.channel.EventLoop
-import java.util.concurrent.TimeUnit
+import kotlin.time.Duration.Companion.milliseconds
 
 /** Checks all attempts in flight for stalls, with one timer. Must be used on the event loop only. */
 internal class Watchdog(
-    private val loop: EventLoop,
+    loop: EventLoop,
 ) {
     private val watched = LinkedHashSet<Attempt>()
-    private var isScheduled = false
+
+    /** The checks, which rest while no attempt is in flight. */
+    val checks = RecurringTask(NAME, loop, CHECK_INTERVAL, { watched.isNotEmpty() }, ::checkAll)
 
     fun watch(attempt: Attempt) {
         watched += attempt
-        if (isScheduled) return
-        isScheduled = true
-        loop.schedule(::checkAll, CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS)
+        checks.resume()
     }
 
     fun release(attempt: Attempt) {
@@ -22,16 +24,13 @@
     }
 
     /** Ends the attempts whose prompts have been quarantined since they were sent. */
-    fun endQuarantined(): Unit = watched.toList().forEach { it.endIfQuarantined() }
+    fun endQuarantined(): Unit = watched.toList().forEachIsolated(NAME) { it.endIfQuarantined() }
 
-    private fun checkAll() {
-        watched.toList().forEach { it.checkStalled() }
-        isScheduled = watched.isNotEmpty()
-        if (isScheduled) loop.schedule(::checkAll, CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS)
-    }
+    private fun checkAll(): Unit = watched.toList().forEachIsolated(NAME) { it.checkStalled() }
 
     private companion object {
         /** Short compared with the shortest stall timeout. */
-        const val CHECK_INTERVAL_MILLIS = 50L
+        val CHECK_INTERVAL = 50.milliseconds
+        const val NAME = "check of attempts"
     }
 }
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/net/CallerServer.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/net/CallerServer.kt
@@ -1,6 +1,7 @@
 package dev.almondhaven.gateway.net
 
 import dev.almondhaven.gateway.EarlyListener
+import dev.almondhaven.gateway.duty.forEachIsolated
 import dev.almondhaven.model.LogEvent
 import dev.almondhaven.traffic.CallerLimits
 import io.github.oshai.kotlinlogging.KotlinLogging
@@ -112,7 +113,7 @@
     }
 
     /** Ends the requests that are being served, since the process is about to exit. */
-    fun endRequests(): Unit = connections.toList().forEach { it.endRequest() }
+    fun endRequests(): Unit = connections.toList().forEachIsolated("end of requests") { it.endRequest() }
 
     /**
      * Closes the idle connections, and the port once no connection is busy. Returns whether the port and all connections
@@ -120,7 +121,7 @@
      * been accepted, or waits to be accepted, is served first.
      */
     fun drain(): Boolean {
-        connections.toList().forEach { it.closeIfIdle(quietPeriod) }
+        connections.toList().forEachIsolated("end of idle connections") { it.closeIfIdle(quietPeriod) }
         if (port == null) return connections.isEmpty()
         if (!isBusy) stopListening()
         // The selector releases the port in its next turn.
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/relay/RelayHandler.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/relay/RelayHandler.kt
@@ -1,6 +1,8 @@
 package dev.almondhaven.gateway.relay
 
 import dev.almondhaven.gateway.call.RouterResponse
+import dev.almondhaven.gateway.duty.RecurringTask
+import dev.almondhaven.gateway.duty.forEachIsolated
 import dev.almondhaven.gateway.net.CallerRequest
 import dev.almondhaven.gateway.net.CompletedRequest
 import dev.almondhaven.gateway.net.InFlightRequest
@@ -11,6 +13,7 @@
 import io.netty.channel.EventLoop
 import java.util.concurrent.Future
 import java.util.concurrent.TimeUnit
+import kotlin.time.Duration.Companion.milliseconds
 
 /**
  * Answers routers that follow this one: at once if it knows more than they do, otherwise when something changes or is
@@ -22,7 +25,9 @@
     private val clock: NanoClock,
 ) : RequestHandler {
     private val waiting = LinkedHashSet<PendingAnswer>()
-    private var isCheckScheduled = false
+
+    /** Refuses the requests that wait as soon as this router should not be relied on any more. */
+    val checks = RecurringTask(NAME, loop, CHECK_INTERVAL, { waiting.isNotEmpty() }, ::check)
 
     override fun serve(
         request: CallerRequest,
@@ -47,22 +52,13 @@
     }
 
     /** Answers the requests for which something is new. */
-    fun onChange(): Unit = waiting.filter { it.hasNews() }.forEach { it.answer() }
+    fun onChange(): Unit = waiting.filter { it.hasNews() }.forEachIsolated(NAME) { it.answer() }
 
     /** Answers all requests, since the configuration has been confirmed anew or this router reads no more. */
-    fun answerAll(): Unit = waiting.toList().forEach { it.answer() }
-
-    /** Refuses the requests that wait as soon as this router should not be relied on any more. */
-    private fun scheduleCheck() {
-        if (isCheckScheduled) return
-        isCheckScheduled = true
-        loop.schedule(::check, CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS)
-    }
+    fun answerAll(): Unit = waiting.toList().forEachIsolated(NAME) { it.answer() }
 
     private fun check() {
-        isCheckScheduled = false
         if (!source.isReader) answerAll()
-        if (waiting.isNotEmpty()) scheduleCheck()
     }
 
     private inner class PendingAnswer(
@@ -76,7 +72,7 @@
 
         fun hold() {
             waiting += this
-            scheduleCheck()
+            checks.resume()
             timer = loop.schedule(::answer, query.wait.inWholeMilliseconds, TimeUnit.MILLISECONDS)
         }
 
@@ -110,6 +106,7 @@
         const val OK = 200
         const val BAD_REQUEST = 400
         const val UNAVAILABLE = 503
-        const val CHECK_INTERVAL_MILLIS = 100L
+        val CHECK_INTERVAL = 100.milliseconds
+        const val NAME = "answers to followers"
     }
 }
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/relay/StateFollower.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/relay/StateFollower.kt
@@ -2,6 +2,7 @@
 
 import dev.almondhaven.decision.distribution.RelayCandidate
 import dev.almondhaven.decision.distribution.RelaySelection
+import dev.almondhaven.gateway.duty.Duty
 import dev.almondhaven.gateway.net.HttpResult
 import dev.almondhaven.gateway.state.ConfigurationWatcher
 import dev.almondhaven.gateway.state.KindWatcher
@@ -21,8 +22,8 @@
 
 /**
  * Follows the store through another router of the failure domain where [selection] names one, and pauses the watchers of
- * this router meanwhile. If no router that it asks gives a usable answer, the watchers read the store again. Must be used
- * on the event loop only.
+ * this router meanwhile. If no router that it asks gives a usable answer, the watchers read the store again. A step that
+ * fails is followed by another request. Must be used on the event loop only.
  *
  * @property isReady whether this router has listed all kinds; until then it reads for itself, as no other may run.
  * @property onStoreRecovery called with the time since the store recovered, as the router that is asked saw it.
@@ -42,6 +43,12 @@
     private var followed: RelayCandidate? = null
     private var isAsking = false
 
+    /** Grows with each restart, so that answers and pauses from before it are dropped. */
+    private var generation = 0
+
+    /** The series of requests. */
+    val duty = Duty("relayed state", loop, clock, ::restart)
+
     /** Routers in a row that gave no usable answer, and those of them that kept this one waiting for it. */
     private var failures = 0
     private var timeouts = 0
@@ -55,12 +62,20 @@
     /** Replaces the list of routers; this one may be among them. */
     fun setRouters(routers: List<RelayCandidate>) {
         selection.setRouters(routers)
-        if (!isAsking) ask()
+        if (!isAsking) duty.step(::ask)
+    }
+
+    private fun restart() {
+        generation++
+        ask()
     }
 
     private fun ask() {
         isAsking = selection.isLarge
-        if (!selection.isLarge) return read("no router to ask")
+        if (!selection.isLarge) {
+            duty.pause()
+            return read("no router to ask")
+        }
         if (!isReady()) return schedule(READY_CHECK_INTERVAL)
         val reader = selection.reader(clock.nanos())
         if (reader == null) {
@@ -71,13 +86,23 @@
         val wait = if (reader == followed) POLL_WAIT else Duration.ZERO
         val query = RelayQuery(revisions(), wait)
         val sent = configuration.requestTime()
+        val current = generation
+        duty.expectStepWithin(wait + ANSWER_MARGIN)
         connector.ask(reader.address, query, wait + ANSWER_MARGIN) { result ->
-            val answer = decode(result)
-            when {
-                answer == null -> onFailure(reader, describe(result), sent)
-                answer.age > LONGEST_AGE -> onFailure(reader, "confirmed ${answer.age} ago", sent)
-                else -> onAnswer(reader, answer, sent)
-            }
+            if (generation == current) duty.step { onResult(reader, result, sent) }
+        }
+    }
+
+    private fun onResult(
+        reader: RelayCandidate,
+        result: HttpResult,
+        sent: RelayRequestTime,
+    ) {
+        val answer = decode(result)
+        when {
+            answer == null -> onFailure(reader, describe(result), sent)
+            answer.age > LONGEST_AGE -> onFailure(reader, "confirmed ${answer.age} ago", sent)
+            else -> onAnswer(reader, answer, sent)
         }
     }
 
@@ -110,6 +135,7 @@
         val byKind = answer.kinds.associateBy { it.kind }
         kinds.forEach { watcher -> byKind[watcher.history.kind]?.let(watcher::applyRelayed) }
         configuration.applyRelayed(byKind[StoreKind.CONFIGURATION], sent, answer.held, answer.age)
+        duty.recordSuccess()
         ask()
     }
 
@@ -142,10 +168,16 @@
         configuration.resume { if (isReading) kinds.forEach { it.resume() } }
     }
 
-    private fun scheduleNext(): Unit = schedule(RETRY_PAUSE + RETRY_PAUSE * random.nextDouble())
+    /** Asks again after a pause; that no router can be asked, or that none answers, is no failure of this duty. */
+    private fun scheduleNext() {
+        duty.recordSuccess()
+        schedule(RETRY_PAUSE + RETRY_PAUSE * random.nextDouble())
+    }
 
     private fun schedule(pause: Duration) {
-        loop.schedule(::ask, pause.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+        val current = generation
+        duty.expectStepWithin(pause)
+        loop.schedule({ if (generation == current) duty.step(::ask) }, pause.inWholeMilliseconds, TimeUnit.MILLISECONDS)
     }
 
     private companion object {
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/state/ActiveRollOut.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/state/ActiveRollOut.kt
@@ -27,6 +27,9 @@
     val slowness = CanaryEvidence()
     var requestedState: RollOutState? = null
 
+    /** Monotonic time in nanoseconds at which [requestedState] is written again if it is not stored by then. */
+    var rewriteAt = heardAt
+
     /** Whether a write of the age is scheduled or in flight. */
     var isStoringAge = false
 
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/state/ConfigurationWatcher.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/state/ConfigurationWatcher.kt
@@ -172,7 +172,9 @@
 
     private fun read() {
         val sent = now()
-        val onFailure = { _: StoreResponse? ->
+        val onFailure = { response: StoreResponse? ->
+            // That the store can't be reached is no failure of this duty.
+            if (response == null) duty.recordSuccess()
             logFreshnessChange()
             schedule(retryDelay()) { read() }
         }
@@ -229,13 +231,8 @@
     ) {
         val current = generation
         duty.expectStepWithin(delay)
-        loop.schedule({
-            if (generation ==
-                current
-            ) {
-                duty.step(action)
-            }
-        }, delay.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+        val step = { if (generation == current) duty.step(action) }
+        loop.schedule(step, delay.inWholeMilliseconds, TimeUnit.MILLISECONDS)
     }
 
     private fun logFreshnessChange() {
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/state/HttpStoreClient.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/state/HttpStoreClient.kt
@@ -1,5 +1,6 @@
 package dev.almondhaven.gateway.state
 
+import dev.almondhaven.gateway.duty.forEachIsolated
 import dev.almondhaven.gateway.net.ConnectionPool
 import dev.almondhaven.gateway.net.HttpClient
 import dev.almondhaven.gateway.net.HttpResult
@@ -66,7 +67,7 @@
         }
         val recovered = recordReachability(reached = true)
         onResponse(StoreResponse(response.status, response.body))
-        if (recovered) recoveryActions.forEach { it() }
+        if (recovered) recoveryActions.forEachIsolated("recovery of the store") { it() }
     }
 
     /** More has changed than one response may hold, so the objects have to be listed, page by page. */
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/state/KindWatcher.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/state/KindWatcher.kt
@@ -258,6 +258,8 @@
         action: () -> Unit,
     ) {
         failures++
+        // That the store can't be reached is no failure of this duty.
+        if (response == null) duty.recordSuccess()
         if (response != null) {
             LogEvent.STORE_CALL_FAILED.log(
                 logger,
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/state/RollOutController.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/state/RollOutController.kt
@@ -7,6 +7,8 @@
 import dev.almondhaven.decision.traffic.CanaryEvidence
 import dev.almondhaven.decision.traffic.SessionVersions
 import dev.almondhaven.decision.traffic.VersionConstraint
+import dev.almondhaven.gateway.duty.RecurringTask
+import dev.almondhaven.gateway.duty.forEachIsolated
 import dev.almondhaven.gateway.peer.CanaryAnnouncement
 import dev.almondhaven.gateway.peer.EvidenceSubject
 import dev.almondhaven.gateway.peer.RollOutAnnouncer
@@ -54,14 +56,10 @@
     private val answerTimes = HashMap<ServiceId, AnswerTimes>()
     private val ageExchange = RollOutAgeExchange(announcer, clock, ::sessionsToAnnounce)
 
-    fun start() {
-        loop.scheduleWithFixedDelay(
-            ::checkProgress,
-            CHECK_INTERVAL_MILLIS,
-            CHECK_INTERVAL_MILLIS,
-            TimeUnit.MILLISECONDS,
-        )
-    }
+    /** The checks of the orders' progress. */
+    val checks = RecurringTask(NAME, loop, CHECK_INTERVAL_MILLIS.milliseconds, action = ::checkProgress)
+
+    fun start(): Unit = checks.resume()
 
     /** Applies the current state of an order from the store. */
     fun applyOrder(order: RollOutOrder) {
@@ -319,6 +317,7 @@
     ) {
         if (rollOut.isRejected) return
         rollOut.requestedState = RollOutState.ROLLED_BACK
+        postponeRewrite(rollOut)
         LogEvent.ROLL_OUT_DECIDED.log(logger) {
             "service=${rollOut.order.service} state=${RollOutState.ROLLED_BACK} decider=$decider " +
                 "evidence=${rollOut.failures} slow: ${rollOut.slowness}"
@@ -330,12 +329,14 @@
         )
     }
 
-    private fun checkProgress(): Unit = activeRollOuts.values.filterNot { it.isDecided }.forEach(::checkProgress)
+    private fun checkProgress(): Unit =
+        activeRollOuts.values.filterNot { it.isDecided }.forEachIsolated(NAME, ::checkProgress)
 
     private fun checkProgress(rollOut: ActiveRollOut) {
         ageExchange.askIfDue(rollOut)
         forgetAnnouncedIfDue(rollOut)
         announceCanary(rollOut)
+        rewriteIfOverdue(rollOut)
         val elapsed = rollOut.age.position(clock.nanos())
         if (rollOut.schedule.isComplete(elapsed)) {
             requestState(rollOut, RollOutState.DONE)
@@ -387,6 +388,7 @@
     ) {
         if (rollOut.requestedState == state || rollOut.isRejected) return
         rollOut.requestedState = state
+        postponeRewrite(rollOut)
         LogEvent.ROLL_OUT_DECIDED.log(logger) {
             "service=${rollOut.order.service} state=$state evidence=${rollOut.failures} slow: ${rollOut.slowness}"
         }
@@ -394,10 +396,21 @@
         loop.schedule({ write(rollOut, state) }, delay, TimeUnit.MILLISECONDS)
     }
 
+    /** Writes a requested state again whose write has been lost, as after a failure of the step that should have sent it. */
+    private fun rewriteIfOverdue(rollOut: ActiveRollOut) {
+        val state = rollOut.requestedState ?: return
+        if (clock.nanos() - rollOut.rewriteAt >= 0) retryWrite(rollOut, state)
+    }
+
+    private fun postponeRewrite(rollOut: ActiveRollOut) {
+        rollOut.rewriteAt = clock.nanos() + LONGEST_WRITE.inWholeNanoseconds
+    }
+
     private fun write(
         rollOut: ActiveRollOut,
         state: RollOutState,
     ) {
+        postponeRewrite(rollOut)
         val order = rollOut.order
         if (order.state >= state) return
         if (activeRollOuts[order.service] !== rollOut) return
@@ -436,6 +449,7 @@
         /** A router of a smaller fleet sees enough answers by itself. */
         const val FEWEST_ROUTERS_TO_POOL = 8
 
+        const val NAME = "progress of roll-outs"
         const val OK = 200
         const val CHECK_INTERVAL_MILLIS = 200L
         const val MAX_JITTER_MILLIS = 400L
@@ -450,5 +464,8 @@
         const val UNUSED_BITS = 11
         val WRITE_TIMEOUT = 1_000.milliseconds
         val REPEAT_INTERVAL = 2.seconds
+
+        /** Time from the request of a state until its write is answered or repeated, delays included. */
+        val LONGEST_WRITE = 5.seconds
     }
 }
--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/call/DeferredRequestTest.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/call/DeferredRequestTest.kt
@@ -12,10 +12,12 @@
     private val channel = EmbeddedChannel()
     private val events = ArrayList<String>()
     private var isReady = false
+    private var isFailing = false
     private var now = 0L
 
     private fun deferredRequest() =
-        DeferredRequest(channel.eventLoop(), { isReady }) {
+        DeferredRequest(channel.eventLoop(), { isReady }, { events += "aborted at $now" }) {
+            if (isFailing) throw OutOfMemoryError("simulated")
             events += "served at $now"
             object : InFlightRequest {
                 override fun onCallerDisconnected() {
@@ -66,6 +68,17 @@
         }
     }
 
+    /** Guards against CONFIG: what failed on a timer left its request without an answer. */
+    @Test
+    fun `the connection of a request whose service fails is closed`() {
+        isFailing = true
+        deferredRequest()
+        isReady = true
+        advance(1_000)
+
+        expectThat(events.toList()).isEqualTo(listOf("aborted at 10"))
+    }
+
     private companion object {
         const val STEP_MILLIS = 10L
     }
--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/duty/DutyTest.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/duty/DutyTest.kt
@@ -77,6 +77,19 @@
         }
     }
 
+    @Nested
+    inner class `of several elements` {
+        @Test
+        fun `one that fails with an error keeps none of the others back`() {
+            val done = ArrayList<Int>()
+            listOf(1, 2, 3).forEachIsolated("test") {
+                if (it == 2) throw OutOfMemoryError("simulated")
+                done += it
+            }
+            expectThat(done.toList()).isEqualTo(listOf(1, 3))
+        }
+    }
+
     @Nested
     inner class `a recurring task` {
         private var runs = 0
--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/net/CallerResponseOrderTest.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/net/CallerResponseOrderTest.kt
@@ -27,7 +27,11 @@
         RequestHandler { request, writer ->
             writers += writer
             if (request.path == DEFERRED_PATH) {
-                DeferredRequest(loop, { ++checks == CHECKS_BEFORE_READY }) { IDLE.also { serve(request, writer) } }
+                DeferredRequest(
+                    loop,
+                    { ++checks == CHECKS_BEFORE_READY },
+                    writer::abort,
+                ) { IDLE.also { serve(request, writer) } }
             } else {
                 IDLE.also { serve(request, writer) }
             }
--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/relay/StateFollowerTest.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/relay/StateFollowerTest.kt
@@ -47,7 +47,10 @@
             store,
             channel.eventLoop(),
             clock,
-            { seen += "main ${it.revision}" },
+            {
+                if (it.revision == FAILING_REVISION) throw OutOfMemoryError("simulated")
+                seen += "main ${it.revision}"
+            },
             {},
             { millis },
         )
@@ -280,4 +283,40 @@
             expectThat(openCalls().any { it == "/objects/evacuations?watch=7&waitMs=28000" }).isTrue()
         }
     }
+
+    /** Guards against CONFIG: the series of requests to another router ended with the first answer that couldn't be applied. */
+    @Nested
+    inner class `an answer that can't be applied` {
+        private fun configuration(revision: Long) =
+            """{"kind":"CONFIGURATION","revision":$revision,"changes":[{"removed":false,"object":${stored(
+                "main",
+                revision,
+            )}}]}"""
+
+        @Test
+        fun `is followed by another request, which asks for all of that kind`() {
+            follow()
+            answer(configuration(FAILING_REVISION))
+            val before = asks.size
+            advance(200)
+
+            expectThat(asks.size).isEqualTo(before + 1)
+            expectThat(asks.last().query.since[StoreKind.CONFIGURATION]).isEqualTo(0)
+        }
+
+        @Test
+        fun `leaves the duty sound once the store is read again`() {
+            follow()
+            answer(configuration(FAILING_REVISION))
+            repeat(20) {
+                advance(200)
+                refuse()
+            }
+            expectThat(follower.duty.isSound).isTrue()
+        }
+    }
+
+    private companion object {
+        const val FAILING_REVISION = 99L
+    }
 }
--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/state/RollOutControllerTest.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/state/RollOutControllerTest.kt
@@ -16,6 +16,7 @@
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
 import java.net.InetSocketAddress
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration.Companion.milliseconds
@@ -355,4 +356,22 @@
             expectThat(listOf(15_100L, 19_999L).map { versionFor(session, it) }).isEqualTo(listOf(new, new))
         }
     }
+
+    /** Guards against CONFIG: what fails once on a timer was never done. */
+    @Test
+    fun `the end of a roll-out whose write fails with an error is written again`() {
+        startRollOut()
+        rollOuts.start()
+        store.isNextCallFailing = true
+        val writes =
+            listOf(25L, 26L, 27L, 32L, 33L).map { second ->
+                now = second.seconds.inWholeNanoseconds
+                channel.advanceTimeBy(1, TimeUnit.SECONDS)
+                channel.runScheduledPendingTasks()
+                store.calls.size
+            }
+
+        expectThat(writes).isEqualTo(listOf(0, 0, 0, 1, 1))
+        expectThat(store.isNextCallFailing).isFalse()
+    }
 }
--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/state/ScriptedStoreClient.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/state/ScriptedStoreClient.kt
@@ -18,6 +18,9 @@
     private val recoveryActions = ArrayList<() -> Unit>()
     override val recoveredAt: Long? = null
     override var isReachable = true
+
+    /** Whether the next call fails before it is sent. */
+    var isNextCallFailing = false
     override val callCounts = StoreCallCounts()
 
     override fun call(
@@ -25,6 +28,10 @@
         timeout: Duration,
         onResponse: (StoreResponse?) -> Unit,
     ): () -> Unit {
+        if (isNextCallFailing) {
+            isNextCallFailing = false
+            throw OutOfMemoryError("simulated")
+        }
         callCounts.count(call)
         val pending = PendingCall(call.path, timeout, onResponse).also { calls += it }
         return { pending.isCancelled = true }
