A silent endpoint is given up only for one that takes the request

Change: an attempt is abandoned only if another endpoint takes the request at that moment and the retry budget holds a retry more than the move needs; StallPolicy has no limit where nothing else can serve. Only endpoints that take requests count in an EjectionGroup, and ejected ones are used while no other is left.

--- a/decision/src/main/kotlin/dev/almondhaven/decision/endpoint/EjectionGroup.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/endpoint/EjectionGroup.kt
@@ -1,9 +1,10 @@
 package dev.almondhaven.decision.endpoint
 
 /**
- * A set of interchangeable endpoints that bounds outlier ejection: at most [maximumShare] of them, and never the last
- * one, is ejected at a time. A router that sees every endpoint fail is more likely partitioned or overloading the
- * pool itself.
+ * A set of interchangeable endpoints that bounds outlier ejection: at most [maximumShare] of those that take requests, and
+ * never the last one, is ejected at a time. A router that sees every endpoint fail is more likely partitioned or
+ * overloading the pool itself. Endpoints that drain or are evacuated can't stand in for an ejected one, so they don't count
+ * and may be ejected at any time.
  */
 public class EjectionGroup(
     private val maximumShare: Double = DEFAULT_MAXIMUM_SHARE,
@@ -34,11 +35,22 @@
         eject: () -> Boolean,
     ): Boolean =
         synchronized(members) {
-            val others = members.count { it !== health && it.isEjected }
-            others + 1 <= maximumEjected() && eject()
+            allowsEjection(health) && eject()
         }
 
-    private fun maximumEjected(): Int = minOf((members.size * maximumShare).toInt(), members.size - 1)
+    private fun allowsEjection(health: EndpointHealth): Boolean {
+        val counted = countedMembers()
+        if (health !in counted) return true
+        val maximum = minOf((counted.size * maximumShare).toInt(), counted.size - 1)
+        return counted.count { it !== health && it.isEjected } < maximum
+    }
+
+    /** The members that take requests, or all if none does. */
+    private fun countedMembers(): List<EndpointHealth> =
+        members.filter { it.takesRequests() }.ifEmpty { members.toList() }
+
+    /** Whether all members that take requests are ejected, since others have stopped taking requests meanwhile. */
+    internal fun isExhausted(): Boolean = synchronized(members) { members.none { !it.isEjected && it.takesRequests() } }
 
     public companion object {
         public const val DEFAULT_MAXIMUM_SHARE: Double = 0.7
--- a/decision/src/main/kotlin/dev/almondhaven/decision/endpoint/EndpointHealth.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/endpoint/EndpointHealth.kt
@@ -9,14 +9,16 @@
 
 /**
  * Circuit breaker of one endpoint. Consecutive failures eject the endpoint for a while if its [group] allows that.
- * Then a single request probes it, whose outcome either restores the endpoint or ejects it for twice as long.
- * Thread-safe.
+ * Then a single request probes it, whose outcome either restores the endpoint or ejects it for twice as long. While no
+ * endpoint of the group is left, an ejected one is used all the same. Thread-safe.
  *
  * @property longestEjection bound on the time between two probes.
+ * @property takesRequests whether the endpoint takes new requests: it is neither draining nor evacuated.
  */
 public class EndpointHealth(
     private val group: EjectionGroup,
     private val longestEjection: Duration = LONGEST_EJECTION,
+    internal val takesRequests: () -> Boolean = { true },
 ) {
     private sealed interface State
 
@@ -59,12 +61,12 @@
             }
         }
 
-    /** Whether [tryUse] would return false; doesn't claim the probe. */
+    /** Whether the endpoint should not be used [now], not even for a probe. Doesn't claim the probe. */
     public fun refuses(now: Long): Boolean =
         when (val current = state.get()) {
             is Closed -> false
-            is Ejected -> now < current.until
-            is Probing -> now - current.startedAt < PROBE_TIMEOUT_NANOS
+            is Ejected -> now < current.until && !group.isExhausted()
+            is Probing -> now - current.startedAt < PROBE_TIMEOUT_NANOS && !group.isExhausted()
         }
 
     /** Records a success; returns true if it restored the endpoint. */
--- a/decision/src/main/kotlin/dev/almondhaven/decision/traffic/EndpointView.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/traffic/EndpointView.kt
@@ -16,6 +16,7 @@
  * @param typicalPace the pace that all endpoints of a service share as a reference.
  * @param warmUpShare this router's current part of the rate that the endpoint bears while it is cold.
  * @param statedShare this router's current part of a rate that the endpoint states.
+ * @param takesRequests whether the endpoint takes new requests: it is neither draining nor evacuated.
  */
 public class EndpointView(
     listing: EndpointListing,
@@ -26,10 +27,11 @@
     typicalPace: TypicalPace = TypicalPace(),
     warmUpShare: () -> RateShare = { RateShare.UNLIMITED },
     statedShare: (perSecond: Double) -> RateShare = { RateShare(it, it, routers = 1, position = 0) },
+    takesRequests: (EndpointListing) -> Boolean = { !it.leaving },
 ) {
     public var listing: EndpointListing = listing
         private set
-    public val health: EndpointHealth = EndpointHealth(group, LONGEST_EJECTION)
+    public val health: EndpointHealth = EndpointHealth(group, LONGEST_EJECTION) { takesRequests(this.listing) }
     public val warmUp: WarmUpRateLimiter = WarmUpRateLimiter(now, warmUpShare)
     public val rateLimit: StatedRateLimit = StatedRateLimit(now, statedShare)
     public val prefixCache: PrefixCacheView = PrefixCacheView(kvCacheTokens)
--- a/decision/src/main/kotlin/dev/almondhaven/decision/traffic/StallPolicy.kt
+++ b/decision/src/main/kotlin/dev/almondhaven/decision/traffic/StallPolicy.kt
@@ -9,7 +9,8 @@
  * Load pattern: in a large fleet a router has hardly two streams at one engine, so that it can't tell from the others
  * whether a silent engine is stalled or reads a long prompt of another router. Breaking a sound stream off costs its
  * prefill and a retry, and the engines read the more the more they are loaded. A stream is on time as long as no pause
- * exceeds the one that its route allows, so a router waits while it could still go on elsewhere within that pause.
+ * exceeds the one that its route allows, so a router waits while it could still go on elsewhere within that pause. Where
+ * nothing else can serve the request, a silence is no reason to end it.
  */
 public object StallPolicy {
     /**
@@ -17,7 +18,7 @@
      *
      * @param longestPause the pause that the route allows; null if it states none.
      * @param prefillBacklogMillis outstanding prefill at the engine, as far as this router knows.
-     * @param elsewhereMillis expected time to the first event at another engine.
+     * @param elsewhereMillis expected time to the first event at another engine; infinite if there is none.
      */
     public fun eventTimeout(
         longestPause: Duration?,
@@ -25,7 +26,8 @@
         elsewhereMillis: Double,
     ): Duration {
         val shortest = shortestEventTimeout(prefillBacklogMillis)
-        if (longestPause == null || !elsewhereMillis.isFinite()) return shortest
+        if (!elsewhereMillis.isFinite()) return Duration.INFINITE
+        if (longestPause == null) return shortest
         return maxOf(shortest, longestPause - elsewhereMillis.milliseconds * SAFETY_FACTOR - TRANSIT_TIME)
     }
 
@@ -37,6 +39,7 @@
      * How long an engine may take to its first event.
      *
      * @param timeToObjective time that is left of the latency objective at the start of the attempt.
+     * @param elsewhereMillis expected time to the first event at another engine; infinite if there is none.
      */
     public fun firstEventTimeout(
         timeToObjective: Duration,
@@ -44,7 +47,7 @@
         elsewhereMillis: Double,
     ): Duration {
         val shortest = shortestFirstEventTimeout(prefillBacklogMillis)
-        if (!elsewhereMillis.isFinite()) return shortest
+        if (!elsewhereMillis.isFinite()) return Duration.INFINITE
         return maxOf(shortest, timeToObjective * FIRST_ENDPOINT_SHARE - elsewhereMillis.milliseconds)
     }
 
--- a/decision/src/test/kotlin/dev/almondhaven/decision/endpoint/EndpointHealthTest.kt
+++ b/decision/src/test/kotlin/dev/almondhaven/decision/endpoint/EndpointHealthTest.kt
@@ -60,6 +60,44 @@
         }
     }
 
+    /** Guards against LOST: the last endpoint that took requests was ejected, since others that were draining were counted. */
+    @Nested
+    inner class `of endpoints some of which drain` {
+        private val takesRequests = MutableList(3) { true }
+        private val endpoints =
+            EjectionGroup().let { group -> List(3) { number -> EndpointHealth(group) { takesRequests[number] } } }
+
+        @Test
+        fun `the last one that takes requests is not ejected`() {
+            takesRequests[1] = false
+            takesRequests[2] = false
+            expectThat(endpoints[0].failThrice()).isFalse()
+        }
+
+        @Test
+        fun `those that drain are ejected, and leave the others their share`() {
+            takesRequests[2] = false
+            expectThat(listOf(2, 0, 1).map { endpoints[it].failThrice() }).containsExactly(true, true, false)
+        }
+
+        @Test
+        fun `an ejected one is used while it is the last one that takes requests`() {
+            endpoints[0].failThrice()
+            expectThat(endpoints[0].refuses(1)).isTrue()
+            takesRequests[1] = false
+            takesRequests[2] = false
+            expectThat(endpoints[0].refuses(1)).isFalse()
+            takesRequests[1] = true
+            expectThat(endpoints[0].refuses(1)).isTrue()
+        }
+
+        @Test
+        fun `one is ejected as before while none takes requests`() {
+            takesRequests.fill(false)
+            expectThat(endpoints.map { it.failThrice() }).containsExactly(true, true, false)
+        }
+    }
+
     @Nested
     inner class `an ejection group` {
         @Test
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Attempt.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Attempt.kt
@@ -515,8 +515,9 @@
         val endpointSilence = (now - maxOf(endpoint.lastReceivedAt, startedAt)).nanoseconds
         val endpointAlive = call.route.kind == RequestKind.STREAMING && endpointSilence < ENDPOINT_ALIVE_WINDOW
         if (endpointAlive && silence < MAX_EVENT_GAP) return
-        if (!exchange.canRetry()) return countSilence()
-        abandon("silent for $silence")
+        // Beside other connections that are alive, this one is broken.
+        if (!exchange.canMove(this, mayReconnect = endpointAlive)) return countSilence()
+        abandon("silent for $silence, the endpoint for $endpointSilence")
     }
 
     /** A silence that never counts as a stall. */
@@ -537,16 +538,18 @@
             }
         }
 
-    /** The silence after which the request goes to another endpoint. */
+    /** The silence after which the request goes to another endpoint, or on another connection if there is no other one. */
     private fun timeout(now: Long): Duration {
         if (call.demand.promptTokens == 0) return plainTimeout()
         val backlog = endpointState.prefillBacklogMillis(now)
         val elsewhere = exchange.expectedMillisElsewhere(this)
-        return if (firstResponseMillis == null) {
-            StallPolicy.firstEventTimeout(timeToObjective, backlog, elsewhere)
-        } else {
-            StallPolicy.eventTimeout(call.route.eventGapObjective, backlog, elsewhere)
-        }
+        val timeout =
+            if (firstResponseMillis == null) {
+                StallPolicy.firstEventTimeout(timeToObjective, backlog, elsewhere)
+            } else {
+                StallPolicy.eventTimeout(call.route.eventGapObjective, backlog, elsewhere)
+            }
+        return if (timeout.isFinite()) timeout else MAX_EVENT_GAP
     }
 
     private fun plainTimeout(): Duration =
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/call/EndpointSelector.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/call/EndpointSelector.kt
@@ -17,32 +17,30 @@
         call: AdmittedCall,
         versions: VersionConstraint,
     ): List<EndpointHandle> {
-        val accepting = context.routing.endpointsOf(call.service).filter(::acceptsRequests)
+        val routing = context.routing
+        val accepting = routing.endpointsOf(call.service).filter { routing.takesRequests(it.state.listing) }
         val preferred = accepting.filter { versions.allows(it.state.listing.version) }
         return if (preferred.isEmpty() && versions.allowsFallback) accepting else preferred
     }
 
-    private fun acceptsRequests(endpoint: EndpointHandle): Boolean {
-        val listing = endpoint.state.listing
-        return !listing.leaving && listing.failureDomain.value !in context.routing.evacuatedDomains
-    }
-
     /**
-     * Returns the best of [eligible], preferring endpoints that were not [tried]; null if none admits the request. A
-     * request that is a [suspect] goes to an endpoint without another one if possible, so that a second crash tells
-     * which of them is to blame.
+     * Returns the best of [eligible], preferring endpoints that were not [tried], and then those that were not tried
+     * [last]; null if none admits the request. A request that is a [suspect] goes to an endpoint without another one if
+     * possible, so that a second crash tells which of them is to blame.
      */
     fun choose(
         eligible: List<EndpointHandle>,
         tried: Set<EndpointId>,
         request: PlacementRequest,
+        last: EndpointId? = null,
         suspect: Boolean = false,
     ): EndpointHandle? {
         val untriedEndpoints = eligible.filter { it.state.listing.id !in tried }
         val withoutSuspects = if (suspect) untriedEndpoints.filter { it.suspectsInFlight == 0 } else emptyList()
         return best(withoutSuspects, request)
             ?: best(untriedEndpoints, request)
-            ?: best(eligible - untriedEndpoints.toSet(), request)
+            ?: best(eligible.filter { it.state.listing.id != last }, request)
+            ?: best(eligible, request)
     }
 
     /** Milliseconds until the best of [eligible] is expected to begin its response. */
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/state/RoutingState.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/state/RoutingState.kt
@@ -90,6 +90,10 @@
     /** Known endpoints of [service], including lapsed ones that may be listed again. */
     fun endpointsOf(service: ServiceId): Collection<EndpointHandle> = services[service]?.endpoints?.values.orEmpty()
 
+    /** Whether the endpoint in [listing] takes new requests: it is neither draining nor in an evacuated failure domain. */
+    fun takesRequests(listing: EndpointListing): Boolean =
+        !listing.leaving && listing.failureDomain.value !in evacuatedDomains
+
     fun retryBudgetOf(service: ServiceId): SlidingRetryBudget = serviceEndpoints(service).retryBudget
 
     private fun serviceEndpoints(service: ServiceId): ServiceEndpoints =
@@ -173,6 +177,7 @@
                     serviceEndpoints(listing.service).typicalPace,
                     { warmUpShare(listing) },
                     { statedShare(listing, it) },
+                    ::takesRequests,
                 ),
                 pool,
             )
