--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/Gateway.kt
@@ -180,14 +180,14 @@
             follow(StoreKind.PROMPT_QUARANTINES, promptQuarantine::replaceStored, promptQuarantine::updateStored)
             rollOuts.start()
             registration.step(::register)
-            superviseOthers()
+            superviseTasks()
         }
         LogEvent.ROUTER_STARTED.log(logger) {
             "router=${settings.name} domain=${settings.failureDomain} address=${settings.callerAddress}"
         }
     }
 
-    private fun superviseOthers() {
+    private fun superviseTasks() {
         listOf(follower.duty, registration).forEach(supervisor::add)
         val countLog = RecurringTask("counts in the log", loop, COUNT_LOG_INTERVAL, action = ::logCounts)
         listOf(context.watchdog.checks, relayHandler.checks, rollOuts.checks, countLog).forEach(supervisor::add)
@@ -379,14 +379,8 @@
     /** Registers this router in the list through which the routers find each other and count who shares the bounds. */
     private fun register(): Unit =
         callToRegister(StoreCall.register(settings.name, ownEntry)) { response ->
-            val held =
-                if (response.status ==
-                    StoreCall.CONFLICT
-                ) {
-                    StoreCall.entry(StoreKind.ROUTERS, response.body)
-                } else {
-                    null
-                }
+            val isHeld = response.status == StoreCall.CONFLICT
+            val held = if (isHeld) StoreCall.entry(StoreKind.ROUTERS, response.body) else null
             if (held == null || held.asRouter() == ownEntry) registration.pause() else updateEntry(held)
         }
 
--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/state/RoutingStateTest.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/state/RoutingStateTest.kt
@@ -18,14 +18,10 @@
     private val bounds = TrafficBounds(8.seconds, 2.seconds, 5.seconds, 0.9, 100.0, 10.seconds, 5.seconds)
     private val routing = RoutingState(bounds, EmbeddedChannel().eventLoop(), NanoClock { 0L })
 
-    private fun configuration(): StoredObject =
-        StoreCall
-            .page(
-                StoreKind.CONFIGURATION,
-                WireSamples.storeBody("/objects/config", emptyList()),
-            )!!
-            .objects
-            .single()
+    private fun configuration(): StoredObject {
+        val page = StoreCall.page(StoreKind.CONFIGURATION, WireSamples.storeBody("/objects/config", emptyList()))
+        return page!!.objects.single()
+    }
 
     @Nested
     inner class `a router's share of the retry budget` {
--- a/model/src/main/kotlin/dev/almondhaven/model/LogEvent.kt
+++ b/model/src/main/kotlin/dev/almondhaven/model/LogEvent.kt
@@ -27,9 +27,9 @@
         Level.ERROR,
         "A step of a task that goes on all the time threw an unexpected exception; the task continues or begins anew.",
     ),
+    REQUEST_FAILED_UNEXPECTEDLY(1005, Level.ERROR, "A filter threw an exception; the caller got an error."),
     DUTY_OVERDUE(1006, Level.ERROR, "A task that goes on all the time has not gone on in time; it begins anew."),
     EVENT_LOOP_ENDED(1007, Level.ERROR, "The event loop has ended by itself; the process ends, to be started anew."),
-    REQUEST_FAILED_UNEXPECTEDLY(1005, Level.ERROR, "A filter threw an exception; the caller got an error."),
 
     CONFIGURATION_IN_FORCE(2001, Level.INFO, "A newer configuration took effect on this router."),
     CONFIGURATION_STALE_READ(
