--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/LargeEntryTest.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/LargeEntryTest.kt
@@ -37,11 +37,8 @@
 
     private fun call(router: RunningRouter): String =
         Socket("127.0.0.1", router.callerPort).use { socket ->
-            val headers =
-                WireSamples
-                    .callHeaders(
-                        "r-${callNumber++}",
-                    ).joinToString("") { (name, value) -> "$name: $value\r\n" }
+            val callHeaders = WireSamples.callHeaders("r-${callNumber++}")
+            val headers = callHeaders.joinToString("") { (name, value) -> "$name: $value\r\n" }
             val head = "GET ${WireSamples.UNARY_PATH}a HTTP/1.1\r\nHost: 127.0.0.1\r\nConnection: close\r\n"
             socket.getOutputStream().write("$head$headers\r\n".toByteArray())
             String(socket.getInputStream().readAllBytes())
