The end of the event loop is told by the end of its thread

Read, not shown: without memory an event loop can end before it completes its future, or the future's listener can't be called.

Change: a thread of its own waits for the event loop's thread.

--- a/gateway/src/test/kotlin/dev/almondhaven/gateway/EventLoopEndTest.kt
+++ b/gateway/src/test/kotlin/dev/almondhaven/gateway/EventLoopEndTest.kt
@@ -4,7 +4,6 @@
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
-import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicInteger
 
@@ -15,11 +14,8 @@
     private val loopEnd = EventLoopEnd(loop) { ends.incrementAndGet() }
 
     private fun endLoop() {
-        // The listeners are called one after the other, on another thread.
-        val told = CompletableFuture<Unit>()
-        loop.terminationFuture().addListener { told.complete(Unit) }
         loop.shutdownGracefully(0, 0, TimeUnit.SECONDS)
-        told.get(5, TimeUnit.SECONDS)
+        loopEnd.watcher.join(WAIT_MILLIS)
     }
 
     @Test
@@ -34,4 +30,8 @@
         endLoop()
         expectThat(ends.get()).isEqualTo(0)
     }
+
+    private companion object {
+        const val WAIT_MILLIS = 5_000L
+    }
 }
