--- a/decision/src/test/kotlin/dev/almondhaven/decision/traffic/StallPolicyTest.kt
+++ b/decision/src/test/kotlin/dev/almondhaven/decision/traffic/StallPolicyTest.kt
@@ -78,6 +78,7 @@
             expectThat(timeout(null)).isEqualTo(350.milliseconds)
         }
 
+        /** Guards against LOST: streams were taken from the only endpoint that served them. */
         @Test
         fun `is endless where nothing else can serve the request`() {
             listOf(null, 1_200.milliseconds).forEach {
@@ -101,6 +102,7 @@
             expectThat(StallPolicy.firstEventTimeout((-1).milliseconds, 0.0, 200.0)).isEqualTo(700.milliseconds)
         }
 
+        /** Guards against LOST: streams were taken from the only endpoint that served them. */
         @Test
         fun `is endless where nothing else can serve the request`() {
             expectThat(StallPolicy.firstEventTimeout(3_000.milliseconds, 0.0, Double.POSITIVE_INFINITY))
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Exchange.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Exchange.kt
@@ -152,12 +152,12 @@
     ): Boolean =
         call.route.isRetryable && executions + 1 < call.route.maxAttempts && canAttempt() &&
             remainingTime() > MIN_TIME_TO_RETRY &&
-            context.routing.retryBudgetOf(call.service).available(context.clock.nanos()) >= RETRIES_OF_MOVE &&
+            context.routing.retryBudgetOf(call.service).available(context.clock.nanos()) >= RETRIES_PER_MOVE &&
             context.promptQuarantine.admission(call.id, call.demand.sharedParts) is PromptAdmission.Admitted &&
-            isTaken(if (mayReconnect) null else running.endpoint, running.model)
+            canPlace(if (mayReconnect) null else running.endpoint, running.model)
 
-    /** Whether an endpoint other than [excluded] takes the request on [model] now. */
-    private fun isTaken(
+    /** Whether an endpoint other than [excluded] admits the request on [model] now. */
+    private fun canPlace(
         excluded: EndpointHandle?,
         model: String?,
     ): Boolean {
@@ -186,7 +186,7 @@
         val larger =
             context.cascade.escalationTarget(call.route.models, currentModel, confidence, conditions) ?: return null
         // The answer of the smaller model is lost by the time that no endpoint takes the request for the larger one.
-        return larger.takeIf { isTaken(excluded = null, larger) && spendRetry(ESCALATION_BUDGET_SHARE) }
+        return larger.takeIf { canPlace(excluded = null, larger) && spendRetry(ESCALATION_BUDGET_SHARE) }
     }
 
     private fun escalationConditions(): EscalationConditions {
@@ -481,7 +481,7 @@
         const val PLACEMENT_RETRY_MILLIS = 40L
 
         /** Retries that must be available for a move: one for itself, and one in case that the next endpoint refuses it. */
-        const val RETRIES_OF_MOVE = 2
+        const val RETRIES_PER_MOVE = 2
 
         /** Time in which routers learn of a crash and of the other requests that met it. */
         const val CRASH_REPORT_MILLIS = 25L
