--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/EventLoopEnd.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/EventLoopEnd.kt
@@ -6,7 +6,7 @@
 /**
  * Calls [onEnd] when the thread of [loop] has ended although nobody asked for it, as after an [Error] that its own code
  * threw. All of the router runs on the event loop, so a process whose event loop has ended answers nothing. Waits for the
- * thread itself, on a thread of its own: without memory, an event loop that ends doesn't always complete its future.
+ * thread itself, on a thread of its own: an event loop that ends for lack of memory may not complete its future.
  */
 internal class EventLoopEnd(
     loop: EventExecutor,
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/RouterProcess.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/RouterProcess.kt
@@ -40,7 +40,7 @@
         Runtime.getRuntime().halt(0)
     }
 
-    /** The platform starts a process that has ended anew; one without an event loop would answer nothing for good. */
+    /** Exits so that the platform restarts the process, which would never answer again without its event loop. */
     private fun exitWithoutEventLoop() {
         try {
             LogEvent.EVENT_LOOP_ENDED.log(logger) { HeapUse.now() }
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Attempt.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Attempt.kt
@@ -515,7 +515,7 @@
         val endpointSilence = (now - maxOf(endpoint.lastReceivedAt, startedAt)).nanoseconds
         val endpointAlive = call.route.kind == RequestKind.STREAMING && endpointSilence < ENDPOINT_ALIVE_WINDOW
         if (endpointAlive && silence < MAX_EVENT_GAP) return
-        // Beside other connections that are alive, this one is broken.
+        // If the endpoint's other connections are alive, only this connection is broken.
         if (!exchange.canMove(this, mayReconnect = endpointAlive)) return countSilence()
         abandon("silent for $silence, the endpoint for $endpointSilence")
     }
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Exchange.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/call/Exchange.kt
@@ -185,7 +185,7 @@
         if (!call.route.isRetryable || responseStarted || executions + 2 > call.route.maxAttempts) return null
         val larger =
             context.cascade.escalationTarget(call.route.models, currentModel, confidence, conditions) ?: return null
-        // The answer of the smaller model is lost by the time that no endpoint takes the request for the larger one.
+        // Escalating discards the smaller model's answer, so an endpoint must take the larger one first.
         return larger.takeIf { canPlace(excluded = null, larger) && spendRetry(ESCALATION_BUDGET_SHARE) }
     }
 
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/duty/DutySupervisor.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/duty/DutySupervisor.kt
@@ -27,7 +27,7 @@
     }
 
     fun start() {
-        // The event loop repeats this one by itself as long as it throws nothing.
+        // The event loop stops repeating a task that throws, so the check catches whatever it meets.
         loop.scheduleWithFixedDelay(::check, CHECK_INTERVAL_MILLIS, CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS)
     }
 
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/duty/Isolation.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/duty/Isolation.kt
@@ -1,4 +1,4 @@
-// Keeps the failure of one element from its neighbours.
+// Runs an action for each element so that the failure of one doesn't stop the others.
 
 package dev.almondhaven.gateway.duty
 
--- a/gateway/src/main/kotlin/dev/almondhaven/gateway/net/HttpClient.kt
+++ b/gateway/src/main/kotlin/dev/almondhaven/gateway/net/HttpClient.kt
@@ -94,8 +94,8 @@
 
     private companion object {
         /**
-         * 4 MiB; a page of the store holds about 1 MB. While it is read and decoded, a body takes several times its length
-         * of a heap of about 100 MiB.
+         * 4 MiB; a page of the store holds about 1 MB. Reading and decoding a body takes several times its length in
+         * memory, and the heap has about 100 MiB.
          */
         const val MAX_BODY_BYTES = 4_194_304
     }
